Serve a request end to end as separate processes

Cause: there was no path at all. A caller's request now goes entry, agent, engine and back, streamed; the configuration is read from a stand-in of the platform.

Weighed and ruled out: deciding inside async tasks (decisions in route, gate and once are pure, so that they can be scripted under paused time and explored); one shared UDP port for all links (a path that lost track of a flow swallows a new connection on the same four numbers too).

Before: no tests.

Conclusion: the seams stand; the first implementations behind them are plain ones to be replaced.

--- /dev/null
+++ b/crates/agent/src/health.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use gate::{Event, Sign};
+use tokio::time;
+
+use crate::{
+    admit::Gatekeeper,
+    engine::{Engine, Health},
+};
+
+/// Time between two probes.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// Probes the engine for ever and tells the gatekeeper what it learns.
+pub(crate) async fn watch(engine: Engine, gatekeeper: Gatekeeper) {
+    let mut last: Option<Health> = None;
+    let mut ticks = time::interval(PERIOD);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = engine.health().await.ok();
+        for sign in signs(last, now) {
+            gatekeeper.tell(Event::Sign(sign));
+        }
+        last = now;
+        gatekeeper.tell(Event::Tick);
+    }
+}
+
+/// Compares two probes.
+fn signs(last: Option<Health>, now: Option<Health>) -> Vec<Sign> {
+    let Some(health) = now else {
+        return vec![Sign::Down];
+    };
+    let mut signs = Vec::new();
+    if last.is_some_and(|last| last.boot != health.boot) {
+        signs.push(Sign::Restarted);
+    }
+    if last.is_none() {
+        signs.push(Sign::Up);
+    }
+    signs.push(Sign::Load {
+        running: health.running,
+        queued: health.queued,
+    });
+    signs
+}
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,17 @@
+//! Runs an agent.
+
+use std::process::ExitCode;
+
+use node::Command;
+
+fn main() -> ExitCode {
+    let command = node::command(
+        "apricot-agent",
+        "Guards one endpoint: the only giver of work and orders to it",
+    );
+    match node::settings(command) {
+        Ok(Command::Checked) => ExitCode::SUCCESS,
+        Ok(Command::Run(settings)) => node::start(&settings, agent::run),
+        Err(e) => node::fail(&e),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/diagnose.rs
@@ -0,0 +1,77 @@
+use std::{error, fmt, io::Read as _};
+
+use json_comments::StripComments;
+use serde::de::DeserializeOwned;
+
+/// Locates a mistake in a file of JSON with comments.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    /// Name of the file, as the user gave it.
+    pub file: String,
+    /// Line of the mistake, counted from 1.
+    pub line: usize,
+    /// Column of the mistake, counted from 1.
+    pub column: usize,
+    /// Path of the field, such as `listen.callers`.
+    pub field: String,
+    /// What is wrong, and how to mend it.
+    pub message: String,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}:{}:{}: field `{}`: {}",
+            self.file, self.line, self.column, self.field, self.message
+        )
+    }
+}
+
+impl error::Error for Error {}
+
+/// Parses JSON with comments.
+///
+/// # Errors
+///
+/// Returns the place of the first mistake: wrong syntax, an unknown or missing field, or a value
+/// that its field does not allow.
+pub fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Error> {
+    let plain = strip(file, text)?;
+    let mut deserializer = serde_json::Deserializer::from_str(&plain);
+    let value = serde_path_to_error::deserialize(&mut deserializer).map_err(|e| {
+        let field = e.path().to_string().replace('?', ".");
+        locate(file, field, e.inner())
+    })?;
+    deserializer
+        .end()
+        .map_err(|e| locate(file, ".".to_owned(), &e))?;
+    Ok(value)
+}
+
+/// Replaces comments by spaces, so that lines and columns stay as they are.
+fn strip(file: &str, text: &str) -> Result<String, Error> {
+    let mut plain = String::with_capacity(text.len());
+    StripComments::new(text.as_bytes())
+        .read_to_string(&mut plain)
+        .map_err(|e| Error {
+            file: file.to_owned(),
+            line: text.lines().count(),
+            column: 1,
+            field: ".".to_owned(),
+            message: format!("a comment or string is not closed ({e}); close it"),
+        })?;
+    Ok(plain)
+}
+
+fn locate(file: &str, field: String, error: &serde_json::Error) -> Error {
+    let whole = error.to_string();
+    let place = format!(" at line {} column {}", error.line(), error.column());
+    Error {
+        file: file.to_owned(),
+        line: error.line(),
+        column: error.column(),
+        field,
+        message: whole.strip_suffix(&place).unwrap_or(&whole).to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,14 @@
+//! Runs the operators' command line.
+
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match ctl::run(&ctl::command().get_matches()).await {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,17 @@
+//! Runs an entry.
+
+use std::process::ExitCode;
+
+use node::Command;
+
+fn main() -> ExitCode {
+    let command = node::command(
+        "apricot-entry",
+        "Takes callers' requests and finds an endpoint for each",
+    );
+    match node::settings(command) {
+        Ok(Command::Checked) => ExitCode::SUCCESS,
+        Ok(Command::Run(settings)) => node::start(&settings, entry::run),
+        Err(e) => node::fail(&e),
+    }
+}
--- /dev/null
+++ b/crates/event/src/lib.rs
@@ -0,0 +1,9 @@
+//! The time line of events, and the set-up of logs.
+
+mod line;
+mod log;
+mod recorder;
+
+pub use line::{Event, Kind, Stamp};
+pub use log::start as start_log;
+pub use recorder::Recorder;
--- /dev/null
+++ b/crates/fake/src/bin/relay.rs
@@ -0,0 +1,21 @@
+//! Runs a relay to the address that is its one argument; each line on standard input, such as
+//! `"silence"`, changes what it does.
+
+use anyhow::Context as _;
+use fake::Relay;
+use tokio::io::{AsyncBufReadExt as _, BufReader};
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let target = std::env::args()
+        .nth(1)
+        .context("usage: fake-relay TARGET")?
+        .parse()?;
+    let (relay, address) = Relay::start(target).await?;
+    println!("{address}");
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Some(line) = lines.next_line().await? {
+        relay.set(serde_json::from_str(&line)?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fake/src/bin/service.rs
@@ -0,0 +1,8 @@
+//! Runs a stand-in service.
+
+use fake::Service;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    Service::new().run(([127, 0, 0, 1], 0).into()).await
+}
--- /dev/null
+++ b/crates/fake/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the real processes over stand-ins.
+
+mod plain_path;
+mod refused_calls;
--- /dev/null
+++ b/crates/fault/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the crate `fault`.
+
+mod answer_table;
+mod problem_body;
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures the system: `cargo measure NAME`.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,19 @@
+//! What every process of the system has: links, configuration, health, and an orderly end.
+
+mod current;
+mod follow;
+mod link;
+mod listen;
+mod member;
+mod operator;
+mod setup;
+mod signal;
+
+pub use current::{Current, Watch};
+pub use follow::Follow;
+pub use link::{Links, Observer};
+pub use listen::{Callee, Orders, Work, serve};
+pub use member::{Own, incarnation};
+pub use operator::{Operator, Status};
+pub use setup::{Command, Ready, command, fail, settings, start};
+pub use signal::{Shutdown, shutdown};
--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,181 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use anyhow::Context as _;
+use tarpc::context;
+use tokio::{task::JoinHandle, time};
+use wire::{Beat, ControlClient, Link, Tls};
+
+use crate::{Follow, Own};
+
+/// Time in which a dial or heartbeat must be answered.
+const ANSWER: Duration = Duration::from_millis(1000);
+/// First and longest pause between two dials.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+
+/// Learns what happens on links.
+pub trait Observer: Send + Sync {
+    /// A heartbeat came in; the first one of a link tells that it is up.
+    fn beat(&self, address: SocketAddr, beat: &Beat);
+    /// A link went down.
+    fn down(&self, address: SocketAddr);
+}
+
+/// Keeps a link to each wanted address, and dials anew those that break.
+///
+/// Lock order: `table` is the only lock and is never held across an await.
+#[derive(Clone)]
+pub struct Links {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    tls: Tls,
+    own: Own,
+    follow: Follow,
+    observer: Arc<dyn Observer>,
+    heartbeat: Duration,
+    table: Mutex<HashMap<SocketAddr, Entry>>,
+}
+
+struct Entry {
+    keeper: JoinHandle<()>,
+    link: Option<Link>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.keeper.abort();
+        if let Some(link) = &self.link {
+            link.close();
+        }
+    }
+}
+
+impl Links {
+    /// Creates an empty set of links.
+    #[must_use]
+    pub fn new(
+        tls: Tls,
+        own: Own,
+        follow: Follow,
+        observer: Arc<dyn Observer>,
+        heartbeat: Duration,
+    ) -> Self {
+        let shared = Shared {
+            tls,
+            own,
+            follow,
+            observer,
+            heartbeat,
+            table: Mutex::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Sets the addresses to which links are wanted; links to others are closed.
+    pub fn want(&self, wanted: &[SocketAddr]) {
+        let Ok(mut table) = self.shared.table.lock() else {
+            return;
+        };
+        table.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            table.entry(*address).or_insert_with(|| {
+                let keeper = tokio::spawn(keep(self.shared.clone(), *address));
+                Entry { keeper, link: None }
+            });
+        }
+    }
+
+    /// Returns the link to an address, if it is up.
+    #[must_use]
+    pub fn get(&self, address: SocketAddr) -> Option<Link> {
+        let table = self.shared.table.lock().ok()?;
+        table.get(&address)?.link.clone()
+    }
+}
+
+impl Shared {
+    fn set(&self, address: SocketAddr, link: Option<Link>) {
+        let Ok(mut table) = self.table.lock() else {
+            return;
+        };
+        if let Some(entry) = table.get_mut(&address) {
+            entry.link = link;
+        }
+    }
+
+    async fn beat(&self, client: &ControlClient, address: SocketAddr) -> anyhow::Result<()> {
+        let call = client.beat(context::current(), self.own.beat());
+        let beat = time::timeout(ANSWER, call)
+            .await
+            .context("no heartbeat in time")??;
+        self.own.observe(&beat);
+        self.observer.beat(address, &beat);
+        self.learn(client, &beat).await
+    }
+
+    /// Pulls the records that the other side has and this one lacks.
+    async fn learn(&self, client: &ControlClient, beat: &Beat) -> anyhow::Result<()> {
+        let own = self.follow.current().version.number;
+        if beat.version.number <= own {
+            return Ok(());
+        }
+        let call = client.records(context::current(), own);
+        let records = time::timeout(ANSWER, call)
+            .await
+            .context("no records in time")??;
+        self.follow.take(&records);
+        Ok(())
+    }
+}
+
+/// Dials, exchanges heartbeats until the link breaks, and starts again.
+async fn keep(shared: Arc<Shared>, address: SocketAddr) {
+    let mut pause = PAUSES.0;
+    loop {
+        match time::timeout(ANSWER, Link::dial(address, &shared.tls)).await {
+            Ok(Ok(link)) => {
+                pause = PAUSES.0;
+                let end = hold(&shared, address, &link).await;
+                log::info!("the link to {address} is lost: {end:#}");
+                link.close();
+                shared.set(address, None);
+                shared.observer.down(address);
+            }
+            Ok(Err(e)) => log::debug!("{address} cannot be dialled: {e:#}"),
+            Err(_) => log::debug!("{address} cannot be dialled in time"),
+        }
+        time::sleep(pause).await;
+        pause = (pause * 2).min(PAUSES.1);
+    }
+}
+
+/// Exchanges heartbeats until one fails, and returns why.
+async fn hold(shared: &Shared, address: SocketAddr, link: &Link) -> anyhow::Error {
+    let client = match link.control().await {
+        Ok(client) => client,
+        Err(e) => return e.into(),
+    };
+    if let Err(e) = shared.beat(&client, address).await {
+        return e;
+    }
+    shared.set(address, Some(link.clone()));
+    let mut ticks = time::interval(shared.heartbeat);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = link.closed() => return anyhow::anyhow!("closed by the other side or silent"),
+        }
+        if let Err(e) = shared.beat(&client, address).await {
+            return e;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/listen.rs
@@ -0,0 +1,117 @@
+use std::sync::Arc;
+
+use conf::Number;
+use event::{Event, Recorder};
+use futures::future::BoxFuture;
+use peer::Members;
+use smol_str::SmolStr;
+use wire::{
+    Beat, Frame, Link, Listener, Member, Order, Purpose, Receiver, Reply, Report, Sender, Streams,
+};
+
+use crate::{Follow, Own};
+
+/// Serves work streams that other processes open.
+pub trait Work: Send + Sync {
+    /// Serves one stream to its end.
+    fn work(&self, sender: Sender<Reply>, receiver: Receiver<Frame>) -> BoxFuture<'static, ()>;
+}
+
+/// Carries out the orders of a group's leader at the engine beside an agent.
+pub trait Orders: Send + Sync {
+    /// Carries out an order.
+    fn order(&self, order: Order) -> BoxFuture<'static, Report>;
+}
+
+/// Answers the calls of other processes from the parts of the own one.
+#[derive(Clone)]
+pub struct Callee {
+    own: Own,
+    follow: Follow,
+    recorder: Recorder,
+    members: Arc<Members>,
+    orders: Option<Arc<dyn Orders>>,
+}
+
+impl Callee {
+    /// Creates an answerer of calls.
+    #[must_use]
+    pub fn new(own: Own, follow: Follow, recorder: Recorder, members: Arc<Members>) -> Self {
+        Self {
+            own,
+            follow,
+            recorder,
+            members,
+            orders: None,
+        }
+    }
+
+    /// Adds the port that carries out orders.
+    #[must_use]
+    pub fn orders(mut self, orders: Arc<dyn Orders>) -> Self {
+        self.orders = Some(orders);
+        self
+    }
+}
+
+impl wire::Callee for Callee {
+    fn beat(&self, beat: Beat) -> Beat {
+        self.own.observe(&beat);
+        self.members.observe(&beat);
+        self.own.beat()
+    }
+
+    fn records(&self, after: Number) -> Vec<SmolStr> {
+        self.follow.records(after)
+    }
+
+    fn members(&self) -> Vec<Member> {
+        self.members.list()
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'static, Report> {
+        match &self.orders {
+            Some(orders) => orders.order(order),
+            None => Box::pin(async move {
+                Report {
+                    fence: order.fence,
+                    done: false,
+                    body: SmolStr::default(),
+                }
+            }),
+        }
+    }
+
+    fn events(&self, from: u64) -> Vec<Event> {
+        self.recorder.read(from)
+    }
+}
+
+/// Accepts links and serves the streams on them, until the listener is closed.
+pub async fn serve(listener: Listener, callee: Arc<dyn wire::Callee>, work: Option<Arc<dyn Work>>) {
+    while let Some(link) = listener.accept().await {
+        tokio::spawn(serve_link(link, callee.clone(), work.clone()));
+    }
+}
+
+async fn serve_link(link: Link, callee: Arc<dyn wire::Callee>, work: Option<Arc<dyn Work>>) {
+    while let Ok(streams) = link.accept().await {
+        tokio::spawn(serve_stream(streams, callee.clone(), work.clone()));
+    }
+}
+
+async fn serve_stream(
+    mut streams: Streams,
+    callee: Arc<dyn wire::Callee>,
+    work: Option<Arc<dyn Work>>,
+) {
+    match (streams.purpose().await, work) {
+        (Ok(Purpose::Control), _) => streams.serve(callee).await,
+        (Ok(Purpose::Work), Some(work)) => {
+            let (sender, receiver) = streams.work();
+            work.work(sender, receiver).await;
+        }
+        (Ok(Purpose::Work), None) => log::warn!("a peer offered work to a process that takes none"),
+        (Err(e), _) => log::debug!("a stream could not be served: {e}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/member.rs
@@ -0,0 +1,80 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use conf::id;
+use event::Recorder;
+use wire::{Beat, Hint, Member};
+
+use crate::Follow;
+
+/// Returns the number of this life of the process: its start in nanoseconds since 1970.
+#[must_use]
+pub fn incarnation() -> id::Incarnation {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// Source of an endpoint's load.
+type Load = Arc<dyn Fn() -> Hint + Send + Sync>;
+
+/// Makes the heartbeats of the own process.
+#[derive(Clone)]
+pub struct Own {
+    member: Member,
+    leaving: Arc<AtomicBool>,
+    follow: Follow,
+    recorder: Recorder,
+    load: Option<Load>,
+}
+
+impl Own {
+    /// Creates a source of heartbeats.
+    #[must_use]
+    pub fn new(member: Member, follow: Follow, recorder: Recorder) -> Self {
+        Self {
+            member,
+            leaving: Arc::default(),
+            follow,
+            recorder,
+            load: None,
+        }
+    }
+
+    /// Adds the load of the own endpoint.
+    #[must_use]
+    pub fn load(mut self, load: Load) -> Self {
+        self.load = Some(load);
+        self
+    }
+
+    /// Marks the process as shutting down.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Makes a heartbeat of this moment.
+    #[must_use]
+    pub fn beat(&self) -> Beat {
+        let mut member = self.member.clone();
+        member.leaving = self.leaving.load(Ordering::Relaxed);
+        Beat {
+            member,
+            version: self.follow.current().version,
+            stamp: self.recorder.stamp(),
+            hint: self.load.as_ref().map(|load| load()),
+            suspects: Vec::new(),
+        }
+    }
+
+    /// Moves the own clock past that of a heartbeat.
+    pub fn observe(&self, beat: &Beat) {
+        self.recorder.observe(beat.stamp);
+    }
+}
--- /dev/null
+++ b/crates/node/src/setup.rs
@@ -0,0 +1,113 @@
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgAction, value_parser};
+use conf::Settings;
+use serde::{Deserialize, Serialize};
+use tokio::runtime::{self, Runtime};
+
+/// Exit code for bad arguments or settings.
+const BAD_SETTINGS: u8 = 2;
+
+/// Addresses that a process listens on, printed as one line of JSON on standard output.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Ready {
+    /// HTTP for callers; entries only.
+    pub callers: Option<SocketAddr>,
+    /// QUIC for other processes.
+    pub peers: SocketAddr,
+    /// HTTP for operators.
+    pub operators: SocketAddr,
+}
+
+/// What the command line asks for.
+pub enum Command {
+    /// Run with these settings.
+    Run(Box<Settings>),
+    /// The settings were checked and are right.
+    Checked,
+}
+
+/// Makes the command line that every daemon has.
+#[must_use]
+pub fn command(name: &'static str, about: &'static str) -> clap::Command {
+    clap::Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .after_help(
+            "Exit codes:\n  0  ended in order\n  1  failed while running\n  2  bad arguments or settings\n  3  cut by a second signal",
+        )
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("Settings of the process, in JSON with comments"),
+        )
+        .arg(Arg::new("check").long("check").action(ArgAction::SetTrue).help("Check the settings and exit"))
+}
+
+/// Reads the settings that the command line names.
+///
+/// # Errors
+///
+/// Returns file, line and field of the first mistake in the settings.
+pub fn settings(command: clap::Command) -> anyhow::Result<Command> {
+    let matches = command.get_matches();
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
+    let settings = Settings::load(&path)?;
+    if matches.get_flag("check") {
+        return Ok(Command::Checked);
+    }
+    Ok(Command::Run(Box::new(settings)))
+}
+
+/// Prints why the arguments or settings are bad and returns the exit code for it.
+#[must_use]
+pub fn fail(error: &anyhow::Error) -> ExitCode {
+    eprintln!("error: {error:#}");
+    ExitCode::from(BAD_SETTINGS)
+}
+
+/// Runs a role to its end on a new runtime and returns the exit code.
+#[must_use]
+pub fn start<F>(settings: &Settings, role: fn(Settings) -> F) -> ExitCode
+where
+    F: Future<Output = anyhow::Result<()>>,
+{
+    let _logger = match event::start_log(&settings.log) {
+        Ok(logger) => logger,
+        Err(e) => {
+            return fail(&anyhow::anyhow!(
+                "field `log.level`: {e}; write a level such as \"info\""
+            ));
+        }
+    };
+    match runtime(settings).and_then(|runtime| runtime.block_on(role(settings.clone()))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn runtime(settings: &Settings) -> anyhow::Result<Runtime> {
+    let mut builder = runtime::Builder::new_multi_thread();
+    if let Some(workers) = settings.workers {
+        builder.worker_threads(workers);
+    }
+    Ok(builder.enable_all().build()?)
+}
+
+impl Ready {
+    /// Prints the line that tells that the process listens.
+    pub fn print(&self) {
+        if let Ok(line) = serde_json::to_string(self) {
+            println!("{line}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/ledger.rs
@@ -0,0 +1,60 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fault::Fault;
+use tokio::time::Instant;
+use wire::{Attempt, Fingerprint, Head, Key, Request, Token};
+
+/// Keeps the record of each run that may not be repeated.
+pub trait Ledger: Send {
+    /// Makes or renews the reservation of a key.
+    fn reserve(&mut self, reserve: Reserve, now: Instant) -> Reserved;
+
+    /// Allows a reserved run to start.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the token is not the newest of its key or the run has started before.
+    fn start(&mut self, key: &Key, token: Token, now: Instant) -> Result<(), Fault>;
+
+    /// Cancels a reservation that has not started; its token is void from then on.
+    ///
+    /// Returns whether the run is now known never to start under this token.
+    fn withdraw(&mut self, key: &Key, token: Token, now: Instant) -> bool;
+
+    /// Records how a started run ended; `None` if its outcome cannot be known.
+    fn finish(&mut self, key: &Key, answer: Option<Arc<Answer>>, now: Instant);
+}
+
+/// Asks for a reservation.
+#[derive(Clone, Debug)]
+pub struct Reserve {
+    /// Key of the request.
+    pub key: Key,
+    /// Id of the request.
+    pub request: Request,
+    /// Number of the attempt.
+    pub attempt: Attempt,
+    /// Hash of the request, which must be the same for each use of the key.
+    pub fingerprint: Fingerprint,
+}
+
+/// Answers a request for a reservation.
+#[derive(Clone, Debug)]
+pub enum Reserved {
+    /// The run may start with this token.
+    Token(Token),
+    /// The run is over; its answer is given again.
+    Replay(Arc<Answer>),
+    /// The run may not start.
+    Refused(Fault),
+}
+
+/// Whole answer of a finished run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// Head, as it was first sent.
+    pub head: Head,
+    /// Body.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/once/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the crate `once`.
+
+mod whole_answers;
--- /dev/null
+++ b/crates/once/tests/suite/whole_answers.rs
@@ -0,0 +1,76 @@
+use bytes::Bytes;
+use fault::ErrorKind;
+use once::{Delivery, Piece};
+use wire::{Reply, Seal};
+
+fn data(attempt: u32, offset: u64, text: &'static str) -> Reply {
+    Reply::Data {
+        request: "r".into(),
+        attempt,
+        offset,
+        data: Bytes::from(text),
+    }
+}
+
+fn end(seal: Seal) -> Reply {
+    Reply::End {
+        request: "r".into(),
+        attempt: 1,
+        seal,
+    }
+}
+
+#[test]
+fn whole_answer() {
+    let mut delivery = Delivery::new("r".into(), 1);
+    assert_eq!(
+        delivery.accept(data(1, 0, "abc")),
+        Ok(Piece::Data("abc".into()))
+    );
+    assert_eq!(
+        delivery.accept(data(1, 3, "de")),
+        Ok(Piece::Data("de".into()))
+    );
+    assert_eq!(delivery.accept(end(delivery.seal())), Ok(Piece::End));
+}
+
+#[test]
+fn overlap_trimmed() {
+    let mut delivery = Delivery::new("r".into(), 1);
+    delivery.accept(data(1, 0, "abc")).unwrap();
+    assert_eq!(
+        delivery.accept(data(1, 1, "bcde")),
+        Ok(Piece::Data("de".into()))
+    );
+    assert_eq!(delivery.accept(data(1, 0, "abc")), Ok(Piece::Nothing));
+}
+
+#[test]
+fn gap_detected() {
+    let mut delivery = Delivery::new("r".into(), 1);
+    assert_eq!(
+        delivery.accept(data(1, 2, "c")).unwrap_err().kind(),
+        ErrorKind::BadAnswer
+    );
+}
+
+#[test]
+fn strays_dropped() {
+    let mut delivery = Delivery::new("r".into(), 2);
+    assert_eq!(delivery.accept(data(1, 0, "late")), Ok(Piece::Nothing));
+    assert_eq!(delivery.strays(), 1);
+}
+
+#[test]
+fn wrong_seal() {
+    let mut delivery = Delivery::new("r".into(), 1);
+    delivery.accept(data(1, 0, "abc")).unwrap();
+    let seal = Seal {
+        length: 4,
+        ..delivery.seal()
+    };
+    assert_eq!(
+        delivery.accept(end(seal)).unwrap_err().kind(),
+        ErrorKind::BadAnswer
+    );
+}
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,122 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use conf::{Number, Version, id};
+use event::{Event, Stamp};
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tarpc::context::Context;
+
+use crate::{Order, Report};
+
+/// Load of an endpoint, as its agent last saw it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hint {
+    /// Requests in flight.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Requests in flight that the endpoint allows now.
+    pub limit: u32,
+    /// Whether the endpoint takes new work at all.
+    pub open: bool,
+    /// Incarnation of the agent.
+    pub incarnation: id::Incarnation,
+}
+
+/// Says what a process does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Guards one endpoint.
+    Agent,
+}
+
+/// Describes a process of the system to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Name of the process.
+    pub process: id::Process,
+    /// Number of its life.
+    pub incarnation: id::Incarnation,
+    /// What it does.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// Heartbeat, sent both ways on each link.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// The sender.
+    pub member: Member,
+    /// Version that is in force at the sender.
+    pub version: Version,
+    /// Clock of the sender.
+    pub stamp: Stamp,
+    /// Load of the sender's endpoint; agents only.
+    pub hint: Option<Hint>,
+    /// Fingerprints of requests that are suspected of crashing endpoints.
+    pub suspects: Vec<u64>,
+}
+
+/// Calls between processes.
+#[tarpc::service]
+pub trait Control {
+    /// Exchanges heartbeats.
+    async fn beat(beat: Beat) -> Beat;
+    /// Returns the published records after a version, oldest first, as the platform gave them.
+    async fn records(after: Number) -> Vec<SmolStr>;
+    /// Returns other processes that the callee knows.
+    async fn members() -> Vec<Member>;
+    /// Carries out an order of a group's leader.
+    async fn order(order: Order) -> Report;
+    /// Returns the events from a position on.
+    async fn events(from: u64) -> Vec<Event>;
+}
+
+/// Answers the calls of other processes.
+pub trait Callee: Send + Sync {
+    /// Takes in a heartbeat and returns the own one.
+    fn beat(&self, beat: Beat) -> Beat;
+    /// Returns the published records after a version, oldest first.
+    fn records(&self, after: Number) -> Vec<SmolStr>;
+    /// Returns other processes that this one knows.
+    fn members(&self) -> Vec<Member>;
+    /// Carries out an order of a group's leader.
+    fn order(&self, order: Order) -> BoxFuture<'static, Report>;
+    /// Returns the events from a position on.
+    fn events(&self, from: u64) -> Vec<Event>;
+}
+
+/// Hands the calls of a stream to a [`Callee`].
+#[derive(Clone)]
+pub(crate) struct Service(pub(crate) Arc<dyn Callee>);
+
+impl Control for Service {
+    async fn beat(self, _: Context, beat: Beat) -> Beat {
+        self.0.beat(beat)
+    }
+
+    async fn records(self, _: Context, after: Number) -> Vec<SmolStr> {
+        self.0.records(after)
+    }
+
+    async fn members(self, _: Context) -> Vec<Member> {
+        self.0.members()
+    }
+
+    async fn order(self, _: Context, order: Order) -> Report {
+        self.0.order(order).await
+    }
+
+    async fn events(self, _: Context, from: u64) -> Vec<Event> {
+        self.0.events(from)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,23 @@
+//! Messages between the processes of the system, and the links that carry them.
+//!
+//! Each pair of processes shares one QUIC connection. Streams whose first byte is
+//! [`Purpose::Control`] carry `tarpc`; streams that begin with [`Purpose::Work`] carry one attempt
+//! at one request as [`Frame`]s towards the agent and [`Reply`]s back.
+
+mod control;
+mod frame;
+mod link;
+mod offer;
+mod order;
+mod stream;
+mod tls;
+mod trial;
+
+pub use control::{Beat, Callee, Control, ControlClient, Hint, Member, Role};
+pub use frame::{CHUNK, Frame, Head, Header, Reply, Seal};
+pub use link::{Link, Listener, Purpose, Streams};
+pub use offer::{Attempt, Fingerprint, Key, Offer, Request, Token, Verdict};
+pub use order::{Map, Order, Report, Step};
+pub use stream::{Receiver, Sender};
+pub use tls::Tls;
+pub use trial::{Authority, Certificate};
