Admit by evidence and route within bounds

The plain policies admitted up to a limit that grew after any four ends, knew no queue, no teams and no retry budget, and a pause or a stale sender went unnoticed. Ruled out: static shares or leases of the limit for each entry, since seven entries and a cold bound of two round up to more than an endpoint bears; a shared index of prefixes, since cache events come late and with gaps. Change: gate::Guard holds the cold bound to the unit, counts work from before, grows by rounds of healthy ends, queues by priority and start-time fairness within the queue time, refuses at once with a Retry-After from the drain rate, by version, by pause and by suspicion; route::Router keeps near a prefix's home, spills by zone, keeps a retry budget and team rates, takes stalled groups out and moves work that has not begun to answer. The plain ones stay as baselines without admission.

--- a/crates/agent/src/admit.rs
+++ b/crates/agent/src/admit.rs
@@ -1,12 +1,17 @@
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
+use conf::id;
+use event::{Kind, Recorder};
 use fault::{ErrorKind, Fault};
 use gate::{Action, Ask, Event, Outcome, Policy};
 use tokio::{sync::oneshot, time::Instant};
-use wire::{Attempt, Hint, Request};
+use wire::{Attempt, Hint, Request, Suspect};
 
 /// Hands events to the admission policy and its actions to the attempts that they are for.
 ///
@@ -14,6 +19,8 @@
 #[derive(Clone)]
 pub(crate) struct Gatekeeper {
     inner: Arc<Mutex<Inner>>,
+    endpoint: id::Endpoint,
+    recorder: Recorder,
 }
 
 type Target = (Request, Attempt);
@@ -25,8 +32,10 @@
 
 impl Gatekeeper {
     /// Creates a gatekeeper around a policy.
-    pub(crate) fn new(policy: Box<dyn Policy>) -> Self {
+    pub(crate) fn new(policy: Box<dyn Policy>, endpoint: id::Endpoint, recorder: Recorder) -> Self {
         Self {
+            endpoint,
+            recorder,
             inner: Arc::new(Mutex::new(Inner {
                 policy,
                 waiting: HashMap::new(),
@@ -49,6 +58,7 @@
             gatekeeper: self.clone(),
             target,
             outcome: None,
+            failed: AtomicBool::new(false),
         };
         self.tell(Event::Offer(ask));
         receiver
@@ -62,7 +72,13 @@
         let Ok(mut inner) = self.inner.lock() else {
             return;
         };
+        let before = inner.policy.hint().limit;
         let actions = inner.policy.handle(event, Instant::now());
+        let limit = inner.policy.hint().limit;
+        if limit != before {
+            let endpoint = self.endpoint.clone();
+            self.recorder.record(None, Kind::Limit { endpoint, limit });
+        }
         for action in actions {
             let (request, attempt) = action.target();
             let waiting = inner.waiting.remove(&(request.clone(), attempt));
@@ -91,11 +107,27 @@
     }
 }
 
+impl node::Suspicions for Gatekeeper {
+    fn list(&self) -> Vec<Suspect> {
+        let inner = self.inner.lock();
+        inner.map_or_else(
+            |_| Vec::new(),
+            |inner| inner.policy.suspects(Instant::now()),
+        )
+    }
+
+    fn take(&self, suspects: &[Suspect]) {
+        self.tell(Event::Suspects(suspects.to_vec()));
+    }
+}
+
 /// Place of an attempt, from its offer until it is over.
 pub(crate) struct Slot {
     gatekeeper: Gatekeeper,
     target: Target,
     outcome: Option<Outcome>,
+    /// Whether the engine answered with an error of its own.
+    failed: AtomicBool,
 }
 
 impl Slot {
@@ -105,9 +137,15 @@
         self.gatekeeper.tell(Event::First { request, attempt });
     }
 
+    /// Tells that the engine answered with an error of its own.
+    pub(crate) fn fail(&self) {
+        self.failed.store(true, Ordering::Relaxed);
+    }
+
     /// Gives the place back after a run.
     pub(crate) fn finish(mut self, outcome: Outcome) {
-        self.outcome = Some(outcome);
+        let failed = outcome == Outcome::Done && self.failed.load(Ordering::Relaxed);
+        self.outcome = Some(if failed { Outcome::Failed } else { outcome });
     }
 }
 
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -91,6 +91,9 @@
             .ok_or(Fault::new(ErrorKind::Malformed))?;
         let response = self.client.request(request).await.map_err(|e| {
             log::info!("request {}: the engine gave no answer: {e}", offer.request);
+            if cut_by_caller(&e) {
+                return Fault::new(ErrorKind::Malformed).run_unknown();
+            }
             Fault::new(ErrorKind::Interrupted)
         })?;
         let named = response.headers().get(ATTEMPT);
@@ -118,6 +121,12 @@
     }
 }
 
+/// Returns whether the request's own body ended early; that says nothing about the engine.
+fn cut_by_caller(e: &hyper_util::client::legacy::Error) -> bool {
+    let source = std::error::Error::source(e).and_then(|e| e.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_user)
+}
+
 fn attempt_id(offer: &Offer) -> smol_str::SmolStr {
     format_smolstr!("{}.{}", offer.request, offer.attempt)
 }
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -6,11 +6,15 @@
 use crate::{
     admit::Gatekeeper,
     engine::{Engine, Health},
+    metrics::Metrics,
 };
 
 /// Time between two probes.
 const PERIOD: Duration = Duration::from_millis(250);
 
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+
 /// Probes the engine for ever and tells the gatekeeper what it learns.
 pub(crate) async fn watch(engine: Engine, gatekeeper: Gatekeeper) {
     let mut last: Option<Health> = None;
@@ -23,7 +27,17 @@
             gatekeeper.tell(Event::Sign(sign));
         }
         last = now;
+    }
+}
+
+/// Tells the gatekeeper that time passes, for ever; it takes a gap for a pause of the process.
+pub(crate) async fn tick(gatekeeper: Gatekeeper, metrics: Metrics) {
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
         gatekeeper.tell(Event::Tick);
+        metrics.load(gatekeeper.hint());
     }
 }
 
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,5 +1,6 @@
 use fault::Fault;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use wire::Hint;
 
 /// Metrics of an agent.
 #[derive(Clone)]
@@ -9,6 +10,8 @@
     pub(crate) runs: IntCounter,
     /// Attempts in flight at the engine.
     pub(crate) running: IntGauge,
+    limit: IntGauge,
+    queued: IntGauge,
 }
 
 impl Metrics {
@@ -22,13 +25,26 @@
             refusals: IntCounterVec::new(refusals, &["kind"])?,
             runs: IntCounter::new("apricot_agent_runs_total", "Attempts started at the engine")?,
             running: IntGauge::new("apricot_agent_running", "Attempts in flight at the engine")?,
+            limit: IntGauge::new(
+                "apricot_agent_limit",
+                "Attempts in flight that are allowed now",
+            )?,
+            queued: IntGauge::new("apricot_agent_queued", "Attempts that wait")?,
         };
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.runs.clone()))?;
         registry.register(Box::new(metrics.running.clone()))?;
+        registry.register(Box::new(metrics.limit.clone()))?;
+        registry.register(Box::new(metrics.queued.clone()))?;
         Ok(metrics)
     }
 
+    /// Shows the load.
+    pub(crate) fn load(&self, hint: Hint) {
+        self.limit.set(i64::from(hint.limit));
+        self.queued.set(i64::from(hint.queued));
+    }
+
     /// Counts a refusal.
     pub(crate) fn refused(&self, fault: &Fault) {
         self.refusals
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -56,7 +56,7 @@
                 answer
             }
             Err(fault) => {
-                slot.finish(Outcome::Broken);
+                slot.finish(outcome(&fault));
                 let _ = self.replies.send(Reply::Failed { fault }).await;
                 None
             }
@@ -77,7 +77,11 @@
         slot: &Slot,
     ) -> Result<Option<Answer>, Fault> {
         let response = self.engine.send(&self.offer, body).await?;
-        slot.first();
+        if response.status().is_server_error() {
+            slot.fail();
+        } else {
+            slot.first();
+        }
         let head = self.head(&response);
         self.reply(Reply::Head(head.clone())).await;
         let kept = self.body(response.into_body()).await?;
@@ -144,3 +148,12 @@
         let _ = self.replies.send(reply).await;
     }
 }
+
+/// Says what a failed run tells about the engine: only a broken connection is a sign of a restart.
+fn outcome(fault: &Fault) -> Outcome {
+    match fault.kind() {
+        ErrorKind::Interrupted => Outcome::Broken,
+        ErrorKind::DeadlineRunning | ErrorKind::Malformed => Outcome::Cancelled,
+        _ => Outcome::Failed,
+    }
+}
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -7,7 +7,7 @@
 use node::{Callee, Follow, Operator, Own, Ready, Shutdown, Watch};
 use once::Ledger;
 use prometheus::Registry;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 use wire::{Listener, Member, Role, Tls};
 
 use crate::{admit::Gatekeeper, engine::Engine, health, metrics::Metrics, serve::Server};
@@ -42,7 +42,10 @@
     let shutdown = node::shutdown()?;
     let registry = Registry::new();
     let incarnation = node::incarnation();
-    let gatekeeper = Gatekeeper::new(Box::new(gate::Plain::new(endpoint.clone(), incarnation)));
+    let gatekeeper = {
+        let policy = gate::Guard::new(endpoint.clone(), incarnation, Instant::now());
+        Gatekeeper::new(Box::new(policy), endpoint.clone(), recorder.clone())
+    };
     let member = Member {
         process: settings.name.clone(),
         incarnation,
@@ -55,16 +58,19 @@
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || gatekeeper.hint())
     };
-    let own = Own::new(member, follow.clone(), recorder.clone()).load(load);
+    let own = Own::new(member, follow.clone(), recorder.clone())
+        .load(load)
+        .suspicions(Arc::new(gatekeeper.clone()));
     let engine = Engine::new(address);
     let ledger: Box<dyn Ledger> = Box::new(once::Plain::new(RECORDS));
+    let metrics = Metrics::register(&registry)?;
     let server = Server {
         endpoint,
         gatekeeper: gatekeeper.clone(),
         ledger: Arc::new(Mutex::new(ledger)),
         engine: engine.clone(),
         recorder: recorder.clone(),
-        metrics: Metrics::register(&registry)?,
+        metrics: metrics.clone(),
         shutdown: shutdown.clone(),
     };
     let callee = Arc::new(Callee::new(
@@ -88,6 +94,7 @@
     tokio::spawn(follow.clone().run(settings.platform));
     tokio::spawn(adopt(follow.watch(), gatekeeper.clone()));
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
+    tokio::spawn(health::tick(gatekeeper.clone(), metrics));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
     tokio::spawn(operator.run(operators));
     ready.print();
--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -198,6 +198,9 @@
     pub stall: Duration,
     /// Run records that an agent keeps at most.
     pub records: u32,
+    /// Time after a sign of a restart for which the cold bound holds, whatever work has ended.
+    #[serde_as(as = "unit::Span")]
+    pub warm_up: Duration,
 }
 
 impl Default for Policy {
@@ -210,6 +213,7 @@
             queue_time: Duration::from_millis(300),
             stall: Duration::from_secs(1),
             records: 10_000,
+            warm_up: Duration::from_secs(5),
         }
     }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -161,7 +161,11 @@
                     let Some(admitted) = self.offer(&choice, attempt, &endpoint).await else {
                         continue;
                     };
-                    match self.start(admitted, attempt).await {
+                    let started = tokio::select! {
+                        started = self.start(admitted, attempt) => started,
+                        () = choice.abandoned(attempt) => continue,
+                    };
+                    match started {
                         Ok(started) => return self.deliver(started, choice),
                         Err(fault) => self.broken(&choice, attempt, fault),
                     }
@@ -179,6 +183,8 @@
             repeatable: self.route.repeatable,
             owner: None,
             prefix: self.hashes.clone(),
+            fingerprint: self.fingerprint(),
+            replayable: self.rest.is_none(),
             deadline: self.deadline,
         }
     }
@@ -370,6 +376,10 @@
                         request: self.request.clone(),
                         attempt: started.attempt,
                     });
+                    if sender.capacity() == 0 {
+                        let request = self.request.clone();
+                        choice.tell(Event::Waiting { request });
+                    }
                     if sender.send(Ok(data)).await.is_err() {
                         return End::CallerGone;
                     }
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -8,7 +8,7 @@
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
     time::Instant,
 };
-use wire::Request;
+use wire::{Attempt, Request, Suspect};
 
 /// Hands events to the routing policy and its actions to the calls that they are for.
 ///
@@ -72,6 +72,20 @@
     }
 }
 
+impl node::Suspicions for Chooser {
+    fn list(&self) -> Vec<Suspect> {
+        let inner = self.inner.lock();
+        inner.map_or_else(
+            |_| Vec::new(),
+            |inner| inner.policy.suspects(Instant::now()),
+        )
+    }
+
+    fn take(&self, suspects: &[Suspect]) {
+        self.tell(Event::Suspects(suspects.to_vec()));
+    }
+}
+
 /// Actions for one request; dropping it tells the policy that the request is over.
 pub(crate) struct Choice {
     chooser: Chooser,
@@ -85,6 +99,17 @@
         self.actions.recv().await
     }
 
+    /// Waits until the policy leaves an attempt.
+    pub(crate) async fn abandoned(&mut self, attempt: Attempt) {
+        loop {
+            match self.next().await {
+                Some(Action::Abandon { attempt: left, .. }) if left == attempt => return,
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Tells the policy an event.
     pub(crate) fn tell(&self, event: Event) {
         self.chooser.tell(event);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -9,7 +9,7 @@
 use node::Observer;
 use peer::Members;
 use route::Event;
-use wire::{Beat, Hint};
+use wire::{Beat, Hint, Role};
 
 use crate::choose::Chooser;
 
@@ -22,17 +22,25 @@
     endpoints: Mutex<HashMap<SocketAddr, (id::Endpoint, bool)>>,
     hints: Mutex<BTreeMap<id::Endpoint, Hint>>,
     members: Arc<Members>,
+    /// Name of the own process, which picks its part of large services.
+    name: id::Process,
 }
 
 impl Fleet {
     /// Creates an empty fleet.
-    pub(crate) fn new(chooser: Chooser, recorder: Recorder, members: Arc<Members>) -> Arc<Self> {
+    pub(crate) fn new(
+        name: id::Process,
+        chooser: Chooser,
+        recorder: Recorder,
+        members: Arc<Members>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             chooser,
             recorder,
             endpoints: Mutex::default(),
             hints: Mutex::default(),
             members,
+            name,
         })
     }
 
@@ -42,7 +50,9 @@
             return Vec::new();
         };
         let old = std::mem::take(&mut *endpoints);
-        for (name, endpoint) in &document.endpoints {
+        let chosen = route::subset(document, &self.name);
+        let linked = document.endpoints.iter();
+        for (name, endpoint) in linked.filter(|(name, _)| chosen.contains(name)) {
             let up = old
                 .get(&endpoint.agent)
                 .is_some_and(|(known, up)| known == name && *up);
@@ -59,6 +69,16 @@
             .unwrap_or_default()
     }
 
+    /// Tells the chooser how many entries share the teams' rates.
+    pub(crate) fn count(&self) {
+        let members = self.members.list();
+        let others = members
+            .iter()
+            .filter(|m| m.role == Role::Entry && m.process != self.name && !m.leaving);
+        let entries = u32::try_from(others.count()).unwrap_or(u32::MAX);
+        self.chooser.tell(Event::Entries(entries.saturating_add(1)));
+    }
+
     /// Marks a link and returns the endpoint and whether the mark changed.
     fn mark(&self, address: SocketAddr, up: bool) -> Option<(id::Endpoint, bool)> {
         let mut endpoints = self.endpoints.lock().ok()?;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,8 +6,11 @@
 use node::{Callee, Follow, Links, Operator, Own, Ready, Watch};
 use peer::Members;
 use prometheus::Registry;
-use route::{Event, Plain};
-use tokio::{net::TcpListener, time};
+use route::{Event, Router};
+use tokio::{
+    net::TcpListener,
+    time::{self, Instant},
+};
 use wire::{Listener, Member, Role, Tls};
 
 use crate::{call::Context, choose::Chooser, fleet::Fleet, metrics::Metrics, server};
@@ -42,18 +45,26 @@
     let follow = Follow::new(recorder.clone());
     let shutdown = node::shutdown()?;
     let registry = Registry::new();
-    let chooser = Chooser::new(Box::new(Plain::new(settings.zone.clone())));
+    let incarnation = node::incarnation();
+    let router = Router::new(settings.zone.clone(), incarnation, Instant::now());
+    let chooser = Chooser::new(Box::new(router));
     let members = Arc::new(Members::default());
-    let fleet = Fleet::new(chooser.clone(), recorder.clone(), members.clone());
+    let fleet = Fleet::new(
+        settings.name.clone(),
+        chooser.clone(),
+        recorder.clone(),
+        members.clone(),
+    );
     let member = Member {
         process: settings.name.clone(),
-        incarnation: node::incarnation(),
+        incarnation,
         role: Role::Entry,
         zone: settings.zone.clone(),
         address: ready.peers,
         leaving: false,
     };
-    let own = Own::new(member, follow.clone(), recorder.clone());
+    let own =
+        Own::new(member, follow.clone(), recorder.clone()).suspicions(Arc::new(chooser.clone()));
     let links = Links::new(
         tls,
         own.clone(),
@@ -88,8 +99,8 @@
         parts,
     );
     tokio::spawn(follow.clone().run(settings.platform));
-    tokio::spawn(adopt(follow.watch(), links, fleet, chooser.clone()));
-    tokio::spawn(tick(chooser));
+    tokio::spawn(adopt(follow.watch(), links, fleet.clone(), chooser.clone()));
+    tokio::spawn(tick(chooser, fleet));
     tokio::spawn(node::serve(listener, callee, None));
     tokio::spawn(operator.run(operators));
     ready.print();
@@ -114,10 +125,11 @@
     }
 }
 
-async fn tick(chooser: Chooser) {
+async fn tick(chooser: Chooser, fleet: Arc<Fleet>) {
     let mut ticks = time::interval(TICK);
     loop {
         ticks.tick().await;
         chooser.tell(Event::Tick);
+        fleet.count();
     }
 }
--- a/crates/gate/src/policy.rs
+++ b/crates/gate/src/policy.rs
@@ -3,7 +3,7 @@
 use conf::{Document, Number, Priority, id};
 use fault::Fault;
 use tokio::time::Instant;
-use wire::{Attempt, Fingerprint, Hint, Request};
+use wire::{Attempt, Fingerprint, Hint, Request, Suspect};
 
 /// Decides which attempts an endpoint takes, and when.
 pub trait Policy: Send {
@@ -12,6 +12,11 @@
 
     /// Returns the load, for heartbeats and verdicts.
     fn hint(&self) -> Hint;
+
+    /// Returns the requests that this endpoint and others suspect of crashing endpoints.
+    fn suspects(&self, _now: Instant) -> Vec<Suspect> {
+        Vec::new()
+    }
 }
 
 /// Describes an attempt that wants to be admitted.
@@ -77,7 +82,7 @@
     /// The agent shuts down: nothing new is admitted.
     Leave,
     /// Other agents suspect requests of crashing endpoints.
-    Suspects(Vec<Fingerprint>),
+    Suspects(Vec<Suspect>),
     /// Time has passed; sent a few times a second.
     Tick,
 }
--- /dev/null
+++ b/crates/gate/tests/suite/support.rs
@@ -0,0 +1,124 @@
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use conf::{Document, Limit, Priority};
+use fault::{ErrorKind, Fault};
+use gate::{Action, Ask, Event, Guard, Outcome, Policy as _, Sign};
+use tokio::time::{self, Instant};
+
+/// Time between two ticks.
+pub(crate) const TICK: Duration = Duration::from_millis(100);
+
+/// Guard of the endpoint `e`, driven under paused time.
+pub(crate) struct Bench {
+    pub(crate) guard: Guard,
+    pub(crate) running: HashSet<u32>,
+    pub(crate) refused: Vec<(u32, Fault)>,
+    next: u32,
+}
+
+pub(crate) fn document(limit: Limit) -> Document {
+    let text = serde_json::json!({
+        "schema": 1,
+        "zones": { "a": { "region": "r" } },
+        "services": { "s": { "kind": "plain", "routes": [] } },
+        "endpoints": { "e": { "zone": "a", "service": "s", "agent": "127.0.0.1:1", "limit": limit } },
+        "teams": { "large": { "keys": [] }, "small": { "keys": [] }, "heavy": { "keys": [], "weight": 3 } },
+    });
+    serde_json::from_value(text).unwrap()
+}
+
+pub(crate) fn ask(number: u32, team: &str, priority: Priority) -> Ask {
+    Ask {
+        request: number.to_string().into(),
+        attempt: 1,
+        service: "s".into(),
+        team: team.into(),
+        priority,
+        repeatable: true,
+        fingerprint: u64::from(number),
+        deadline: Instant::now() + Duration::from_secs(60),
+        version: 1,
+    }
+}
+
+impl Bench {
+    /// Creates a bench whose engine is up and reports `running` attempts in its batch.
+    pub(crate) fn new(limit: Limit, running: u32) -> Self {
+        let mut bench = Self {
+            guard: Guard::new("e".into(), 7, Instant::now()),
+            running: HashSet::new(),
+            refused: Vec::new(),
+            next: 0,
+        };
+        bench.adopt(1, document(limit));
+        bench.load(running);
+        bench
+    }
+
+    pub(crate) fn adopt(&mut self, number: u64, document: Document) {
+        let document = Arc::new(document);
+        self.tell(Event::Document { number, document });
+    }
+
+    pub(crate) fn load(&mut self, running: u32) {
+        self.tell(Event::Sign(Sign::Load { running, queued: 0 }));
+    }
+
+    pub(crate) fn tell(&mut self, event: Event) {
+        for action in self.guard.handle(event, Instant::now()) {
+            match action {
+                Action::Admit { request, .. } => {
+                    self.running.insert(request.parse().unwrap());
+                }
+                Action::Refuse { request, fault, .. } => {
+                    self.refused.push((request.parse().unwrap(), fault));
+                }
+            }
+        }
+    }
+
+    /// Offers an attempt of the team `small` and returns its number.
+    pub(crate) fn offer(&mut self) -> u32 {
+        self.offer_as("small", Priority::Normal)
+    }
+
+    pub(crate) fn offer_as(&mut self, team: &str, priority: Priority) -> u32 {
+        self.next += 1;
+        self.tell(Event::Offer(ask(self.next, team, priority)));
+        self.next
+    }
+
+    pub(crate) fn finish(&mut self, number: u32, outcome: Outcome) {
+        assert!(self.running.remove(&number), "{number} runs");
+        self.tell(Event::Finished {
+            request: number.to_string().into(),
+            attempt: 1,
+            outcome,
+        });
+    }
+
+    pub(crate) fn finish_all(&mut self) {
+        for number in self.running.clone() {
+            self.finish(number, Outcome::Done);
+        }
+    }
+
+    /// Lets time pass, with ticks.
+    pub(crate) async fn pass(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            time::advance(TICK).await;
+            self.tell(Event::Tick);
+        }
+    }
+
+    pub(crate) fn limit(&self) -> u32 {
+        self.guard.hint().limit
+    }
+
+    /// Returns why an attempt was refused, `None` if it was not.
+    pub(crate) fn kind(&self, number: u32) -> Option<ErrorKind> {
+        let refused = self.refused.iter().find(|(n, _)| *n == number);
+        refused.map(|(_, fault)| fault.kind())
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,7 +13,7 @@
 pub use follow::Follow;
 pub use link::{Links, Observer};
 pub use listen::{Callee, Orders, Work, serve};
-pub use member::{Own, incarnation};
+pub use member::{Own, Suspicions, incarnation};
 pub use operator::{Operator, Status};
 pub use setup::{Command, Ready, command, fail, settings, start};
 pub use signal::{Shutdown, shutdown};
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -8,7 +8,7 @@
 
 use conf::id;
 use event::Recorder;
-use wire::{Beat, Hint, Member};
+use wire::{Beat, Hint, Member, Suspect};
 
 use crate::Follow;
 
@@ -24,6 +24,14 @@
 /// Source of an endpoint's load.
 type Load = Arc<dyn Fn() -> Hint + Send + Sync>;
 
+/// Keeps the requests that are suspected of crashing endpoints.
+pub trait Suspicions: Send + Sync {
+    /// Returns those that the own process knows.
+    fn list(&self) -> Vec<Suspect>;
+    /// Takes in those that another process knows.
+    fn take(&self, suspects: &[Suspect]);
+}
+
 /// Makes the heartbeats of the own process.
 #[derive(Clone)]
 pub struct Own {
@@ -32,6 +40,7 @@
     follow: Follow,
     recorder: Recorder,
     load: Option<Load>,
+    suspicions: Option<Arc<dyn Suspicions>>,
 }
 
 impl Own {
@@ -44,6 +53,7 @@
             follow,
             recorder,
             load: None,
+            suspicions: None,
         }
     }
 
@@ -54,6 +64,13 @@
         self
     }
 
+    /// Adds the requests that are suspected of crashing endpoints.
+    #[must_use]
+    pub fn suspicions(mut self, suspicions: Arc<dyn Suspicions>) -> Self {
+        self.suspicions = Some(suspicions);
+        self
+    }
+
     /// Marks the process as shutting down.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -69,12 +86,17 @@
             version: self.follow.current().version,
             stamp: self.recorder.stamp(),
             hint: self.load.as_ref().map(|load| load()),
-            suspects: Vec::new(),
+            suspects: self.suspicions.as_ref().map_or_else(Vec::new, |s| s.list()),
         }
     }
 
-    /// Moves the own clock past that of a heartbeat.
+    /// Moves the own clock past that of a heartbeat, and takes in what its sender suspects.
     pub fn observe(&self, beat: &Beat) {
         self.recorder.observe(beat.stamp);
+        if let Some(suspicions) = &self.suspicions
+            && !beat.suspects.is_empty()
+        {
+            suspicions.take(&beat.suspects);
+        }
     }
 }
--- a/crates/route/src/plain.rs
+++ b/crates/route/src/plain.rs
@@ -16,9 +16,19 @@
 /// Time after which callers come back if no endpoint could say.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// Chooses the least loaded reachable endpoint, in the own zone first.
+/// How [`Plain`] orders the endpoints.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// One after the other.
+    Rotation,
+    /// The least loaded by its last hint first.
+    LeastLoaded,
+}
+
+/// Baseline: chooses over all zones by a simple order, and tries the next one at once.
 pub struct Plain {
-    zone: id::Zone,
+    order: Order,
+    turn: usize,
     document: Option<Arc<Document>>,
     hints: BTreeMap<id::Endpoint, Hint>,
     calls: HashMap<Request, Call>,
@@ -31,11 +41,12 @@
 }
 
 impl Plain {
-    /// Creates a policy for an entry in a zone.
+    /// Creates a baseline with an order.
     #[must_use]
-    pub fn new(zone: id::Zone) -> Self {
+    pub fn new(order: Order) -> Self {
         Self {
-            zone,
+            order,
+            turn: 0,
             document: None,
             hints: BTreeMap::new(),
             calls: HashMap::new(),
@@ -46,21 +57,15 @@
         let Some(mut call) = self.calls.remove(request) else {
             return Vec::new();
         };
-        let choice = if call.attempt < ATTEMPTS {
-            self.choose(&call)
-        } else {
-            None
-        };
-        let Some(endpoint) = choice else {
+        let choice = (call.attempt < ATTEMPTS).then(|| self.choose(&call));
+        let Some(endpoint) = choice.flatten() else {
             let fault = if last.retry_time().is_some() {
                 last
             } else {
                 last.retry_after(COME_BACK)
             };
-            return vec![Action::GiveUp {
-                request: request.clone(),
-                fault,
-            }];
+            let request = request.clone();
+            return vec![Action::GiveUp { request, fault }];
         };
         call.attempt += 1;
         call.tried.push(endpoint.clone());
@@ -73,30 +78,33 @@
         }]
     }
 
-    fn choose(&self, call: &Call) -> Option<id::Endpoint> {
+    fn choose(&mut self, call: &Call) -> Option<id::Endpoint> {
         let document = self.document.as_ref()?;
-        let fits = |name: &id::Endpoint| {
-            let Some(endpoint) = document.endpoints.get(name) else {
-                return false;
-            };
-            let out = document
-                .zones
-                .get(&endpoint.zone)
-                .is_none_or(|z| z.state == ZoneState::Out);
-            endpoint.service == call.ask.service && !endpoint.leaving && !out
-        };
-        let owned = |name: &id::Endpoint| call.ask.owner.as_ref().is_none_or(|owner| owner == name);
-        self.hints
-            .iter()
-            .filter(|(name, _)| fits(name) && owned(name) && !call.tried.contains(name))
-            .min_by_key(|(name, hint)| {
-                let far = document
-                    .endpoints
-                    .get(*name)
-                    .is_some_and(|e| e.zone != self.zone);
-                (!hint.open, far, load(hint))
+        let fits = |name: &&id::Endpoint| {
+            document.endpoints.get(*name).is_some_and(|endpoint| {
+                let zone = document.zones.get(&endpoint.zone);
+                let in_service = zone.is_some_and(|z| z.state == ZoneState::In);
+                endpoint.service == call.ask.service && !endpoint.leaving && in_service
             })
-            .map(|(name, _)| name.clone())
+        };
+        let owner = call.ask.owner.as_ref();
+        let fitting: Vec<_> = self
+            .hints
+            .keys()
+            .filter(fits)
+            .filter(|name| owner.is_none_or(|owner| owner == *name))
+            .filter(|name| !call.tried.contains(name))
+            .collect();
+        let chosen = match self.order {
+            Order::Rotation => {
+                self.turn += 1;
+                fitting.get(self.turn % fitting.len().max(1)).copied()
+            }
+            Order::LeastLoaded => fitting
+                .into_iter()
+                .min_by_key(|name| load(&self.hints[*name])),
+        };
+        chosen.cloned()
     }
 }
 
@@ -120,20 +128,18 @@
             }
             Event::Begin(ask) => {
                 let request = ask.request.clone();
-                self.calls.insert(
-                    request.clone(),
-                    Call {
-                        ask,
-                        attempt: 0,
-                        tried: Vec::new(),
-                    },
-                );
+                let call = Call {
+                    ask,
+                    attempt: 0,
+                    tried: Vec::new(),
+                };
+                self.calls.insert(request.clone(), call);
                 return self.next(&request, ErrorKind::NoEndpoint.into());
             }
+            Event::Refused { request, fault, .. } if fault.run() == Run::No => {
+                return self.next(&request, fault);
+            }
             Event::Refused { request, fault, .. } => {
-                if fault.run() == Run::No {
-                    return self.next(&request, fault);
-                }
                 return vec![Action::GiveUp { request, fault }];
             }
             Event::Broken {
@@ -151,7 +157,7 @@
             Event::Ended { request } => {
                 self.calls.remove(&request);
             }
-            Event::Admitted { .. } | Event::Progress { .. } | Event::Tick => {}
+            _ => {}
         }
         Vec::new()
     }
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -3,12 +3,17 @@
 use conf::{Document, Priority, id};
 use fault::Fault;
 use tokio::time::Instant;
-use wire::{Attempt, Hint, Request};
+use wire::{Attempt, Fingerprint, Hint, Request, Suspect};
 
 /// Decides which endpoint gets which attempt.
 pub trait Policy: Send {
     /// Takes in an event at a time and returns what to do now.
     fn handle(&mut self, event: Event, now: Instant) -> Vec<Action>;
+
+    /// Returns the requests that are suspected of crashing endpoints.
+    fn suspects(&self, _now: Instant) -> Vec<Suspect> {
+        Vec::new()
+    }
 }
 
 /// Describes a request for which an endpoint is wanted.
@@ -28,6 +33,10 @@
     pub owner: Option<id::Endpoint>,
     /// Hashes of growing prefixes of the body, shortest first.
     pub prefix: Vec<u64>,
+    /// Hash by which requests that crash endpoints are recognised.
+    pub fingerprint: Fingerprint,
+    /// Whether the entry holds all that a second attempt needs.
+    pub replayable: bool,
     /// Time by which the answer must end.
     pub deadline: Instant,
 }
@@ -79,6 +88,11 @@
         /// Number of the attempt.
         attempt: Attempt,
     },
+    /// The answer waits for its caller to read.
+    Waiting {
+        /// Id of the request.
+        request: Request,
+    },
     /// An attempt broke off after it was admitted.
     Broken {
         /// Id of the request.
@@ -95,6 +109,10 @@
         /// Id of the request.
         request: Request,
     },
+    /// Other processes suspect requests of crashing endpoints.
+    Suspects(Vec<Suspect>),
+    /// Entries that are alive, with the own one.
+    Entries(u32),
     /// Time has passed; sent a few times a second.
     Tick,
 }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -1,13 +1,14 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use conf::{Number, Version, id};
 use event::{Event, Stamp};
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMicroSeconds, serde_as};
 use smol_str::SmolStr;
 use tarpc::context::Context;
 
-use crate::{Order, Report};
+use crate::{Fingerprint, Order, Report};
 
 /// Load of an endpoint, as its agent last saw it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -62,8 +63,21 @@
     pub stamp: Stamp,
     /// Load of the sender's endpoint; agents only.
     pub hint: Option<Hint>,
-    /// Fingerprints of requests that are suspected of crashing endpoints.
-    pub suspects: Vec<u64>,
+    /// Requests that are suspected of crashing endpoints.
+    pub suspects: Vec<Suspect>,
+}
+
+/// Says that a request ran at an endpoint when its engine crashed.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspect {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Number of the crash, unique in the fleet.
+    pub crash: u64,
+    /// Time for which the suspicion still holds.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub left: Duration,
 }
 
 /// Calls between processes.
