Script scenarios over the decision code in a small line language

The promises need proofs that drive the real decisions, and processes are slow to script exactly. A script says who exists, what happens and what must hold; a virtual clock plays it over small in-memory fakes. Weighed: paused tokio tasks, whose order of wake-ups is not ours to fix.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -3,6 +3,7 @@
 mod line;
 mod log;
 mod recorder;
+mod text;
 
 pub use line::{Event, Kind, Stamp};
 pub use log::start as start_log;
--- /dev/null
+++ b/crates/scene/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the scenario language and the scenarios written in it.
+
+mod scene_files;
+mod script_errors;
