Script each promise and failure as a scenario of its own

Each promise and failure needs a proof that fails without its rule. One file each, one test each, so that a red one is named. Found while writing: a refusal said 'run: no' after an earlier attempt had run, and an offer without a verdict counted as not run; the fake entry keeps the stricter rule. Wrappers without admission, restart signs or retries make the scenarios fail.

--- a/crates/scene/src/entry.rs
+++ b/crates/scene/src/entry.rs
@@ -45,6 +45,7 @@
     deadline: Instant,
     actions: VecDeque<Action>,
     stage: Stage,
+    may_have_run: bool,
 }
 
 enum Stage {
@@ -100,7 +101,7 @@
         let (name, request) = (sent.entry.clone(), sent.request.clone());
         let state = self.processes[&name].state;
         if state != State::Running {
-            // The caller's connection is refused, or waits until its caller gives up.
+            // The caller's connection is refused.
             return self.end(&request, End::Cut);
         }
         let Some(document) = self.processes[&name].fold.document().cloned() else {
@@ -139,6 +140,7 @@
             deadline,
             actions: VecDeque::new(),
             stage: Stage::Idle,
+            may_have_run: false,
         };
         let life = self.processes[&name].life;
         let timer = Due::Entry(name.clone(), life, Timer::Deadline(request.clone()));
@@ -258,8 +260,34 @@
         self.tell_entry(name, event);
     }
 
-    /// Gives a caller its final refusal.
+    /// Handles an offer whose verdict never came: without a key it may have been run.
+    fn unanswered(&mut self, name: &id::Process, request: &Request, attempt: Attempt) {
+        let fault = Fault::new(ErrorKind::NoEndpoint);
+        let Some(call) = self.entry(name).calls.get_mut(request) else {
+            return;
+        };
+        if call.key.is_some() {
+            return self.refused(name, request, attempt, fault);
+        }
+        call.stage = Stage::Idle;
+        call.may_have_run = true;
+        let event = Event::Broken {
+            request: request.clone(),
+            attempt,
+            fault: fault.run_unknown(),
+            replayable: true,
+        };
+        self.tell_entry(name, event);
+    }
+
+    /// Gives a caller its final refusal; it says `run: no` only if no attempt can have been run.
     fn refuse(&mut self, name: &id::Process, request: &Request, fault: Fault) {
+        let call = self.entry(name).calls.get(request);
+        let fault = if call.is_some_and(|call| call.may_have_run) {
+            fault.run_unknown()
+        } else {
+            fault
+        };
         let kind = Kind::Refusal {
             kind: fault.kind().name().into(),
         };
@@ -397,6 +425,7 @@
         }
         let (attempt, replayable) = (*attempt, fault.run() == Run::Unknown);
         call.stage = Stage::Idle;
+        call.may_have_run |= replayable;
         let event = Event::Broken {
             request: request.clone(),
             attempt,
@@ -417,7 +446,7 @@
                     let endpoint = endpoint.clone();
                     let withdraw = agent::Message::Withdraw((request.clone(), attempt));
                     self.pass(name, &endpoint, withdraw);
-                    self.refused(name, &request, attempt, ErrorKind::NoEndpoint.into());
+                    self.unanswered(name, &request, attempt);
                 }
             }
             Timer::Deadline(request) => {
@@ -536,7 +565,7 @@
             .collect();
         for (request, attempt, offered) in broken {
             if offered {
-                self.refused(name, &request, attempt, ErrorKind::NoEndpoint.into());
+                self.unanswered(name, &request, attempt);
             } else {
                 self.broken(name, &request, ErrorKind::Interrupted.into());
             }
--- a/crates/scene/src/grammar.rs
+++ b/crates/scene/src/grammar.rs
@@ -29,6 +29,7 @@
         alt((
             sides("cut").map(|(a, b)| Act::Cut(a, b)),
             sides("silence").map(|(a, b)| Act::Silence(a, b)),
+            (sides("late"), preceded(space1, duration)).map(|((a, b), time)| Act::Late(a, b, time)),
             sides("heal").map(|(a, b)| Act::Heal(a, b)),
         )),
         (
--- a/crates/scene/src/parse.rs
+++ b/crates/scene/src/parse.rs
@@ -81,6 +81,7 @@
     ),
     ("cut", "cut SIDE SIDE"),
     ("silence", "silence SIDE SIDE"),
+    ("late", "late SIDE SIDE TIME"),
     ("heal", "heal SIDE SIDE"),
     ("zone", "zone ZONE out|in"),
     ("leave", "leave ENDPOINT"),
@@ -356,7 +357,7 @@
         | Act::EngineTakes(name, _)
         | Act::EngineCross(name)
         | Act::Leave(name) => known(&script.engines, "endpoint", name),
-        Act::Cut(a, b) | Act::Silence(a, b) | Act::Heal(a, b) => {
+        Act::Cut(a, b) | Act::Silence(a, b) | Act::Heal(a, b) | Act::Late(a, b, _) => {
             known_side(script, a)?;
             known_side(script, b)
         }
--- a/crates/scene/src/script.rs
+++ b/crates/scene/src/script.rs
@@ -60,6 +60,8 @@
     Cut(SmolStr, SmolStr),
     /// Open connections between two sides go silent; new ones work.
     Silence(SmolStr, SmolStr),
+    /// Messages between two sides take this much longer from now on.
+    Late(SmolStr, SmolStr, Duration),
     /// Everything passes between two sides again.
     Heal(SmolStr, SmolStr),
     /// A zone is taken out or brought back, by a new version.
--- a/crates/scene/src/world.rs
+++ b/crates/scene/src/world.rs
@@ -104,6 +104,8 @@
     Sent(Sent),
     Message(Envelope),
     Tick(id::Process, id::Incarnation, u64),
+    /// The platform's answer to a read.
+    Page(id::Process, id::Incarnation, Vec<SmolStr>),
     Entry(id::Process, id::Incarnation, entry::Timer),
     Agent(id::Process, id::Incarnation, agent::Timer),
     Machine(id::Endpoint, agent::Work),
@@ -114,9 +116,10 @@
     fn owner(&self) -> Option<(&id::Process, id::Incarnation)> {
         match self {
             Due::Message(envelope) => Some((&envelope.to, envelope.to_life)),
-            Due::Tick(name, life, _) | Due::Entry(name, life, _) | Due::Agent(name, life, _) => {
-                Some((name, *life))
-            }
+            Due::Tick(name, life, _)
+            | Due::Page(name, life, _)
+            | Due::Entry(name, life, _)
+            | Due::Agent(name, life, _) => Some((name, *life)),
             Due::Act(_) | Due::Sent(_) | Due::Machine(..) => None,
         }
     }
@@ -196,6 +199,7 @@
     log: Vec<SmolStr>,
     platform: Platform,
     cuts: BTreeSet<(SmolStr, SmolStr)>,
+    delays: BTreeMap<(SmolStr, SmolStr), Duration>,
     silent: BTreeSet<(id::Process, id::Process, Epoch)>,
     arrivals: HashMap<(id::Process, id::Process), Duration>,
 }
@@ -239,6 +243,7 @@
             log: Vec::new(),
             platform: Platform::Up,
             cuts: BTreeSet::new(),
+            delays: BTreeMap::new(),
             silent: BTreeSet::new(),
             arrivals: HashMap::new(),
         };
@@ -315,25 +320,32 @@
             return;
         }
         let jitter = Duration::from_micros(self.random.random_range(0..JITTER));
+        let delay = self.delay(from, to);
         let way = (from.clone(), to.clone());
         let earliest = self.arrivals.get(&way).copied().unwrap_or_default();
-        let at = (self.now + LATENCY + jitter).max(earliest);
+        let at = (self.now + LATENCY + jitter + delay).max(earliest);
         self.arrivals.insert(way, at);
         self.at(at, Due::Message(envelope));
     }
 
-    fn is_cut(&self, a: &SmolStr, b: &SmolStr) -> bool {
-        let sides = |name: &SmolStr| {
-            let zone = self.processes.get(name).map(|p| p.zone.clone());
-            [Some(name.clone()), zone]
+    /// Returns whether two processes stand on the two sides of a pair.
+    fn apart(&self, a: &SmolStr, b: &SmolStr, pair: &(SmolStr, SmolStr)) -> bool {
+        let on = |name: &SmolStr, side: &SmolStr| {
+            name == side || self.processes.get(name).is_some_and(|p| p.zone == *side)
         };
-        let (left, right) = (sides(a), sides(b));
-        self.cuts.iter().any(|(x, y)| {
-            let meets = |x: &SmolStr, y: &SmolStr| {
-                left.iter().flatten().any(|s| s == x) && right.iter().flatten().any(|s| s == y)
-            };
-            meets(x, y) || meets(y, x)
-        })
+        on(a, &pair.0) && on(b, &pair.1) || on(a, &pair.1) && on(b, &pair.0)
+    }
+
+    fn is_cut(&self, a: &SmolStr, b: &SmolStr) -> bool {
+        self.cuts.iter().any(|pair| self.apart(a, b, pair))
+    }
+
+    fn delay(&self, a: &SmolStr, b: &SmolStr) -> Duration {
+        let on_way = self
+            .delays
+            .iter()
+            .filter(|(pair, _)| self.apart(a, b, pair));
+        on_way.map(|(_, time)| *time).sum()
     }
 
     /// Records an event.
@@ -349,6 +361,13 @@
     }
 
     fn dispatch(&mut self, due: Due) {
+        if let Due::Sent(sent) = &due {
+            // A paused process leaves its callers' connections waiting.
+            let entry = self.processes.get_mut(&sent.entry);
+            if let Some(entry) = entry.filter(|entry| entry.state == State::Stopped) {
+                return entry.frozen.push(due);
+            }
+        }
         if let Some((name, life)) = due.owner() {
             let Some(process) = self.processes.get_mut(name) else {
                 return;
@@ -368,6 +387,7 @@
                 Body::ToEntry(message) => self.entry_message(&envelope, message),
             },
             Due::Tick(name, life, count) => self.tick(&name, life, count),
+            Due::Page(name, _, records) => self.adopt(&name, &records),
             Due::Entry(name, _, timer) => self.entry_timer(&name, timer),
             Due::Agent(name, _, timer) => self.agent_timer(&name, timer),
             Due::Machine(endpoint, work) => self.machine_work(&endpoint, work),
@@ -405,8 +425,13 @@
         if self.is_cut(name, &SmolStr::new_static("platform")) {
             return;
         }
-        let log = self.log[..shown].to_vec();
-        self.adopt(name, &log);
+        let own = self.processes[name].fold.version().number;
+        let known = usize::try_from(own).unwrap_or(usize::MAX);
+        if known < shown {
+            let page = self.log[known..shown].to_vec();
+            let life = self.processes[name].life;
+            self.after(2 * LATENCY, Due::Page(name.clone(), life, page));
+        }
     }
 
     /// Lets a process take in published records, from the platform or a peer.
@@ -454,7 +479,12 @@
                 self.cuts.insert((a, b));
             }
             Act::Heal(a, b) => {
-                self.cuts.remove(&(a, b));
+                let pair = (a, b);
+                self.cuts.remove(&pair);
+                self.delays.remove(&pair);
+            }
+            Act::Late(a, b, time) => {
+                self.delays.insert((a, b), time);
             }
             Act::Silence(a, b) => self.silence(&a, &b),
             Act::Zone(zone, out) => {
@@ -529,15 +559,11 @@
     }
 
     fn silence(&mut self, a: &SmolStr, b: &SmolStr) {
-        let matches = |world: &Self, side: &SmolStr, name: &id::Process| {
-            side == name || world.processes.get(name).is_some_and(|p| p.zone == *side)
-        };
+        let pair = (a.clone(), b.clone());
         let mut silent = Vec::new();
         for (name, entry) in &self.entries {
             for (endpoint, link) in &entry.links {
-                let there = matches(self, a, name) && matches(self, b, endpoint);
-                let back = matches(self, b, name) && matches(self, a, endpoint);
-                if there || back {
+                if self.apart(name, endpoint, &pair) {
                     silent.push((name.clone(), endpoint.clone(), link.epoch));
                 }
             }
--- a/crates/scene/tests/suite/main.rs
+++ b/crates/scene/tests/suite/main.rs
@@ -2,3 +2,4 @@
 
 mod scene_files;
 mod script_errors;
+mod without_rule;
