Tell the story of a request over all processes

apricot-ctl could only print merged lines, and could not say what was missing. Stamps were taken outside the ring's lock, so that sequence and stamp could disagree; another VM's clock was followed for 500 ms only.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -5,6 +5,6 @@
 mod recorder;
 mod text;
 
-pub use line::{Event, Kind, Stamp};
+pub use line::{Event, Kind, Stamp, since_epoch};
 pub use log::start as start_log;
-pub use recorder::Recorder;
+pub use recorder::{CAPACITY, MAX_SKEW, Recorder};
--- a/crates/event/src/line.rs
+++ b/crates/event/src/line.rs
@@ -1,11 +1,20 @@
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use uhlc::NTP64;
 
 use conf::id;
 
 /// Reading of a hybrid logical clock, as 64-bit NTP time; orders cause before effect.
 pub type Stamp = u64;
 
+/// Returns the time of a stamp since 1970.
+#[must_use]
+pub fn since_epoch(stamp: Stamp) -> Duration {
+    NTP64(stamp).to_duration()
+}
+
 /// Records one thing that a process did or learned.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Event {
@@ -22,10 +31,25 @@
     pub kind: Kind,
 }
 
+impl Kind {
+    /// Returns the endpoint that the event is about.
+    #[must_use]
+    pub const fn endpoint(&self) -> Option<&id::Endpoint> {
+        match self {
+            Kind::Offer { endpoint, .. }
+            | Kind::Run { endpoint, .. }
+            | Kind::Limit { endpoint, .. } => Some(endpoint),
+            _ => None,
+        }
+    }
+}
+
 /// Says what happened.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum Kind {
+    /// The process started; what it did in an earlier life is not kept.
+    Start,
     /// A caller's request was accepted for work.
     Request {
         /// Team of the caller.
--- a/crates/event/src/text.rs
+++ b/crates/event/src/text.rs
@@ -5,6 +5,7 @@
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Kind::Start => f.write_str("start"),
             Kind::Request { team, service } => write!(f, "request of {team} for {service}"),
             Kind::Offer { endpoint, attempt } => write!(f, "offer {attempt} to {endpoint}"),
             Kind::Refusal { kind } => write!(f, "refusal {kind}"),
--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -2,3 +2,4 @@
 
 mod plain_path;
 mod refused_calls;
+mod time_line;
