Measure what control costs by size

docs/CAPACITY.md needs slopes. cargo measure slopes fits a line through three sizes or more for events, teams, endpoints, run records, authentication, links both ways and requests, and prints points and worst distance. Ruled out: bytes by machine-wide counters, which count other processes.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod slopes;
+
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
@@ -15,7 +17,11 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[];
+const MEASURES: &[Measure] = &[(
+    "slopes",
+    "What control costs for each link, team, endpoint, change, record, event and request",
+    slopes::measure,
+)];
 
 #[tokio::main]
 async fn main() -> ExitCode {
