Check settings for their role, and name line and field of each mistake

Cause: a missing `listen.callers` was noticed only while starting and without its line; an unknown log level was taken for a module's name and logged everything; a chunked body over the limit was answered 502. Ruled out for the level: a check of the logger's own specification, which accepts any word. Change: settings are checked for a role, levels are a closed list, the harness keeps the logs of processes, and `cargo measure latency` exists. Before: exit code 1 and no line for the missing field. `cargo measure latency` has not been run to its end: the machine was busy with builds.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use conf::Role;
 use node::Command;
 
 fn main() -> ExitCode {
@@ -9,7 +10,7 @@
         "apricot-agent",
         "Guards one endpoint: the only giver of work and orders to it",
     );
-    match node::settings(command) {
+    match node::settings(command, Role::Agent) {
         Ok(Command::Checked) => ExitCode::SUCCESS,
         Ok(Command::Run(settings)) => node::start(&settings, agent::run),
         Err(e) => node::fail(&e),
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -18,5 +18,5 @@
 };
 pub use fold::{Fold, Record};
 pub use key::TeamKey;
-pub use settings::{Format, Identity, Listen, Log, Settings};
+pub use settings::{Format, Identity, Level, Listen, Log, Role, Settings};
 pub use version::{Number, Version};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::BTreeMap,
-    fs,
+    fmt, fs,
     net::SocketAddr,
     path::{Path, PathBuf},
     time::Duration,
@@ -13,6 +13,24 @@
 
 use crate::{Error, diagnose, id, unit};
 
+/// Says what a process does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Guards one endpoint.
+    Agent,
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Role::Entry => "entry",
+            Role::Agent => "agent",
+        })
+    }
+}
+
 /// Holds the settings of one process: where it stands, listens and reads.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -82,8 +100,10 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Log {
-    /// Level, or a comma-separated list of `module=level`.
-    pub level: SmolStr,
+    /// Least important level that is logged.
+    pub level: Level,
+    /// Levels of single modules, such as `node::link`.
+    pub modules: BTreeMap<SmolStr, Level>,
     /// Shape of a line.
     pub format: Format,
 }
@@ -91,12 +111,29 @@
 impl Default for Log {
     fn default() -> Self {
         Self {
-            level: SmolStr::new_static("info"),
+            level: Level::Info,
+            modules: BTreeMap::new(),
             format: Format::Text,
         }
     }
 }
 
+/// Importance of a log line.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Level {
+    /// Something failed for good.
+    Error,
+    /// Something failed and is tried again.
+    Warn,
+    /// A change of state.
+    Info,
+    /// What a developer looks for.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
 /// Shape of a log line.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -108,17 +145,17 @@
 }
 
 impl Settings {
-    /// Reads and checks a file.
+    /// Reads and checks a file for a role; relative paths in the file are taken from the file's own folder.
     ///
     /// # Errors
     ///
-    /// Returns file, line and field of the first mistake; relative paths in the file are taken
-    /// from the file's own directory.
-    pub fn load(path: &Path) -> anyhow::Result<Self> {
+    /// Returns file, line and field of the first mistake.
+    pub fn load(path: &Path, role: Role) -> anyhow::Result<Self> {
         let file = path.display().to_string();
         let text = fs::read_to_string(path).with_context(|| format!("{file}: cannot be read"))?;
         let mut settings: Self = diagnose::parse(&file, &text)?;
         settings.check(&file, &text)?;
+        settings.check_role(role, &file, &text)?;
         settings.resolve(path.parent().unwrap_or(Path::new(".")));
         Ok(settings)
     }
@@ -164,6 +201,29 @@
         self.check_clash(file, text)
     }
 
+    /// Checks that the fields are there that the role needs.
+    fn check_role(&self, role: Role, file: &str, text: &str) -> Result<(), Error> {
+        let missing = match role {
+            Role::Entry if self.listen.callers.is_none() => {
+                ("listen.callers", "an address such as \"127.0.0.1:8080\"")
+            }
+            Role::Agent if self.endpoint.is_none() => {
+                ("endpoint", "the name of the endpoint that it serves")
+            }
+            Role::Agent if self.engine.is_none() => {
+                ("engine", "the address of the engine or service beside it")
+            }
+            Role::Entry | Role::Agent => return Ok(()),
+        };
+        let (field, mend) = missing;
+        Err(mistake(
+            file,
+            text,
+            field,
+            &format!("the field is missing, and an {role} needs it; add {mend}"),
+        ))
+    }
+
     fn check_clash(&self, file: &str, text: &str) -> Result<(), Error> {
         let mut seen = BTreeMap::new();
         let callers = self.listen.callers.map(|address| ("callers", address));
@@ -181,15 +241,10 @@
     }
 }
 
-/// Makes an error that points at the line where the last part of `field` is first written.
+/// Makes an error that points at the line where `field` is first written, or else the field around it.
 fn mistake(file: &str, text: &str, field: &str, message: &str) -> Error {
-    let last = field.rsplit('.').next().unwrap_or(field);
-    let name = format!("\"{last}\"");
-    let found = text
-        .lines()
-        .enumerate()
-        .find_map(|(i, line)| line.find(&name).map(|c| (i + 1, c + 1)));
-    let (line, column) = found.unwrap_or((1, 1));
+    let place = field.rsplit('.').find_map(|part| find(text, part));
+    let (line, column) = place.unwrap_or((1, 1));
     Error {
         file: file.to_owned(),
         line,
@@ -198,3 +253,10 @@
         message: message.to_owned(),
     }
 }
+
+/// Returns line and column of a key, counted from 1.
+fn find(text: &str, key: &str) -> Option<(usize, usize)> {
+    let quoted = format!("\"{key}\"");
+    let mut lines = text.lines().enumerate();
+    lines.find_map(|(i, line)| line.find(&quoted).map(|column| (i + 1, column + 1)))
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use conf::Role;
 use node::Command;
 
 fn main() -> ExitCode {
@@ -9,7 +10,7 @@
         "apricot-entry",
         "Takes callers' requests and finds an endpoint for each",
     );
-    match node::settings(command) {
+    match node::settings(command, Role::Entry) {
         Ok(Command::Checked) => ExitCode::SUCCESS,
         Ok(Command::Run(settings)) => node::start(&settings, entry::run),
         Err(e) => node::fail(&e),
--- a/crates/fake/src/fleet.rs
+++ b/crates/fake/src/fleet.rs
@@ -1,4 +1,10 @@
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fs::{self, OpenOptions},
+    net::SocketAddr,
+    path::PathBuf,
+    time::Duration,
+};
 
 use anyhow::Context as _;
 use conf::{
@@ -15,6 +21,8 @@
 
 /// Team key that the fleet's one team holds.
 pub const KEY: &str = "trial-key-1";
+/// File to which entries and agents log.
+const LOG: &str = "log";
 /// Time in which a fleet must get ready.
 const READY: Duration = Duration::from_secs(60);
 
@@ -33,6 +41,8 @@
     pub limit: Limit,
     /// Policy of the document.
     pub policy: Policy,
+    /// Level of the processes' logs.
+    pub log_level: &'static str,
 }
 
 impl Default for Plan {
@@ -44,6 +54,7 @@
             services: 1,
             limit: Limit { cold: 64, full: 64 },
             policy: Policy::default(),
+            log_level: "info",
         }
     }
 }
@@ -149,7 +160,7 @@
             .to_owned();
         let extra = serde_json::json!({ "endpoint": name, "engine": engine });
         let settings = self.settings(&format!("agent-{name}"), &zone, endpoint.agent, extra)?;
-        let agent = Process::start("apricot-agent", &["--settings", &settings])?;
+        let agent = self.start_daemon("apricot-agent", &settings)?;
         let ready: Ready = serde_json::from_str(agent.line())?;
         if let Some(endpoint) = self.document.endpoints.get_mut(name) {
             endpoint.agent = ready.peers;
@@ -179,11 +190,28 @@
             ([127, 0, 0, 1], 0).into(),
             serde_json::json!({}),
         )?;
-        let entry = Process::start("apricot-entry", &["--settings", &settings])?;
+        let entry = self.start_daemon("apricot-entry", &settings)?;
         self.entries.insert(name.into(), entry);
         Ok(())
     }
 
+    fn start_daemon(&self, program: &str, settings: &str) -> anyhow::Result<Process> {
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.file(LOG))?;
+        Process::start_logged(program, &["--settings", settings], log.into())
+    }
+
+    /// Returns what all entries and agents have logged.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be read.
+    pub fn logs(&self) -> anyhow::Result<String> {
+        Ok(fs::read_to_string(self.file(LOG))?)
+    }
+
     /// Writes the settings of a process and returns the path of the file.
     fn settings(
         &self,
@@ -193,9 +221,9 @@
         extra: serde_json::Value,
     ) -> anyhow::Result<String> {
         let certificate = self.authority.issue(name)?;
-        std::fs::write(self.file("ca.pem"), self.authority.certificate())?;
-        std::fs::write(self.file(&format!("{name}.pem")), certificate.certificate)?;
-        std::fs::write(self.file(&format!("{name}.key")), certificate.key)?;
+        fs::write(self.file("ca.pem"), self.authority.certificate())?;
+        fs::write(self.file(&format!("{name}.pem")), certificate.certificate)?;
+        fs::write(self.file(&format!("{name}.key")), certificate.key)?;
         let mut settings = serde_json::json!({
             "name": name,
             "zone": zone,
@@ -203,13 +231,13 @@
             "platform": [self.platform.line()],
             "identity": { "authority": "ca.pem", "certificate": format!("{name}.pem"), "key": format!("{name}.key") },
             "workers": 2,
-            "log": { "level": "info" },
+            "log": { "level": self.plan.log_level },
         });
         if let (Some(settings), Some(extra)) = (settings.as_object_mut(), extra.as_object()) {
             settings.extend(extra.clone());
         }
         let path = self.file(&format!("{name}.json"));
-        std::fs::write(&path, settings.to_string())?;
+        fs::write(&path, settings.to_string())?;
         Ok(path.display().to_string())
     }
 
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -15,6 +15,6 @@
 pub use engine::{Behaviour, Engine, draft};
 pub use fleet::{Fleet, KEY, Plan};
 pub use platform::{Mode, Platform, publish};
-pub use process::{Process, Signal, build, program};
+pub use process::{Process, Signal, Usage, build, program};
 pub use relay::{Flow, Relay};
 pub use service::Service;
--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the real processes over stand-ins.
 
+mod command_line;
+mod limits;
 mod plain_path;
 mod refused_calls;
+mod secret_logs;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod latency;
+
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
@@ -15,7 +17,11 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[];
+const MEASURES: &[Measure] = &[(
+    "latency",
+    "latency added to calling the engine directly, memory and idle processor time",
+    latency::run,
+)];
 
 #[tokio::main]
 async fn main() -> ExitCode {
