Plan expert maps that move few weights

Skew grew with the drift of popularity because the map of a group never changed. Planning from nothing in each interval was ruled out: it moves nearly every weight. The planner repairs, levels shares between replicas and then searches single moves from the map in force, and acts only on gains that sampling noise does not explain and that outweigh their cost. Bad input gives a typed error and leaves the map.

--- /dev/null
+++ b/crates/expert/src/shape.rs
@@ -0,0 +1,74 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{Error, ErrorKind};
+
+/// Gives the sizes of a lock-step group.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Shape {
+    /// Number of layers with experts.
+    pub layers: usize,
+    /// Number of experts in a layer.
+    pub experts: usize,
+    /// Number of ranks.
+    pub ranks: usize,
+    /// Number of expert slots of a rank in a layer.
+    pub slots: usize,
+}
+
+impl From<&conf::Group> for Shape {
+    fn from(group: &conf::Group) -> Self {
+        Self {
+            layers: group.layers.into(),
+            experts: group.experts.into(),
+            ranks: group.ranks.into(),
+            slots: group.slots.into(),
+        }
+    }
+}
+
+impl Shape {
+    /// Returns the number of counters: one for each expert of each layer.
+    #[must_use]
+    pub fn counters(&self) -> usize {
+        self.layers * self.experts
+    }
+
+    /// Returns the number of slots in a layer over all ranks.
+    #[must_use]
+    pub fn width(&self) -> usize {
+        self.ranks * self.slots
+    }
+
+    /// Checks the sizes against the speeds of the ranks.
+    pub(crate) fn check(&self, speeds: &[Speed]) -> Result<(), Error> {
+        if self.counters() == 0 || self.width() == 0 || self.experts >= usize::from(VACANT) {
+            return Err(ErrorKind::Empty.into());
+        }
+        check_size(self.ranks, speeds.len())?;
+        let wrong = |speed: &Speed| speed.is_some_and(|s| !s.is_finite() || s <= 0.0);
+        if let Some(rank) = speeds.iter().position(wrong) {
+            let rank = rank.try_into().unwrap_or_default();
+            return Err(ErrorKind::Speed { rank }.into());
+        }
+        let slots = speeds.iter().flatten().count() * self.slots;
+        if slots < self.experts {
+            let experts = self.experts;
+            return Err(ErrorKind::Slots { slots, experts }.into());
+        }
+        Ok(())
+    }
+}
+
+/// Speed of a rank relative to the others, or `None` while the rank is lost.
+pub type Speed = Option<f64>;
+
+/// Content of a slot that holds no expert.
+pub const VACANT: u16 = u16::MAX;
+
+/// Checks the number of values.
+pub(crate) fn check_size(expected: usize, found: usize) -> Result<(), Error> {
+    if expected == found {
+        return Ok(());
+    }
+    Err(ErrorKind::Size { expected, found }.into())
+}
--- /dev/null
+++ b/crates/expert/tests/suite/bad_input.rs
@@ -0,0 +1,94 @@
+use expert::{Cost, ErrorKind, Planner, Popularity, Shape, VACANT};
+
+const SHAPE: Shape = Shape {
+    layers: 1,
+    experts: 4,
+    ranks: 2,
+    slots: 3,
+};
+
+#[test]
+fn wrong_counters() {
+    let cases = [
+        (
+            vec![Some(9); 3],
+            ErrorKind::Size {
+                expected: 4,
+                found: 3,
+            },
+        ),
+        (
+            vec![Some(9), None, Some(9), Some(9)],
+            ErrorKind::Missing { position: 1 },
+        ),
+        (
+            vec![Some(9), Some(9), Some(-1), Some(9)],
+            ErrorKind::Negative { position: 2 },
+        ),
+        (
+            vec![Some(9), Some(9), Some(9), Some(1)],
+            ErrorKind::Backwards { position: 3 },
+        ),
+    ];
+    for (counters, kind) in cases {
+        let mut popularity = Popularity::new(SHAPE);
+        popularity.observe(&[Some(5); 4]).unwrap();
+        let before = popularity.layer(0);
+        let error = popularity.observe(&counters).unwrap_err();
+        assert_eq!(error.kind(), kind, "{error}");
+        assert_eq!(popularity.layer(0), before);
+    }
+}
+
+#[test]
+fn counters_after_restart() {
+    let mut popularity = Popularity::new(SHAPE);
+    popularity.observe(&[Some(1000); 4]).unwrap();
+    popularity.observe(&[Some(0); 4]).unwrap_err();
+    popularity
+        .observe(&[Some(1000), Some(0), Some(0), Some(0)])
+        .unwrap();
+    assert!(popularity.layer(0)[0] > 0.5);
+}
+
+#[test]
+fn wrong_groups() {
+    let popularity = Popularity::new(SHAPE);
+    let slots = ErrorKind::Slots {
+        slots: 3,
+        experts: 4,
+    };
+    let cases = [
+        (vec![Some(1.0), Some(0.0)], ErrorKind::Speed { rank: 1 }),
+        (
+            vec![Some(f64::NAN), Some(1.0)],
+            ErrorKind::Speed { rank: 0 },
+        ),
+        (vec![Some(-1.0), Some(1.0)], ErrorKind::Speed { rank: 0 }),
+        (
+            vec![Some(1.0)],
+            ErrorKind::Size {
+                expected: 2,
+                found: 1,
+            },
+        ),
+        (vec![Some(1.0), None], slots),
+    ];
+    let planner = Planner::new(SHAPE, Cost::default());
+    let map = planner.fresh(&popularity, &[Some(1.0); 2]).unwrap();
+    for (speeds, kind) in cases {
+        let error = planner.plan(&map, &popularity, &speeds).unwrap_err();
+        assert_eq!(error.kind(), kind, "{error}");
+        assert_eq!(
+            planner.fresh(&popularity, &speeds).unwrap_err().kind(),
+            kind
+        );
+    }
+    let mut bad = map.clone();
+    bad.slots[2] = 4;
+    let error = planner
+        .plan(&bad, &popularity, &[Some(1.0); 2])
+        .unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::Expert { position: 2 });
+    assert!(!map.slots.contains(&VACANT));
+}
--- /dev/null
+++ b/crates/expert/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of expert maps.
+
+mod bad_input;
+mod good_plans;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod skew;
+
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
@@ -15,7 +17,11 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[];
+const MEASURES: &[Measure] = &[(
+    "skew",
+    "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
+    skew::measure,
+)];
 
 #[tokio::main]
 async fn main() -> ExitCode {
