--- a/crates/expert/src/layer.rs
+++ b/crates/expert/src/layer.rs
@@ -2,6 +2,8 @@
 
 /// Rounds of levelling shares between replicas.
 const ROUNDS: usize = 24;
+/// Part of the way to its level that an expert's load goes in one round, so that many share the work.
+const DAMPING: f64 = 0.5;
 /// Change of a rank's time, relative to the mean, below which levelling ends.
 const LEVEL: f64 = 1e-4;
 
@@ -135,7 +137,7 @@
             let mut change: f64 = 0.0;
             for expert in 0..self.places.len() {
                 if self.places[expert].len() > 1 {
-                    change = change.max(self.pour(expert));
+                    change = change.max(self.pour_part(expert, DAMPING));
                 }
             }
             if change < bound {
@@ -148,6 +150,10 @@
     ///
     /// Returns the largest change of a slot's load.
     pub(crate) fn pour(&mut self, expert: usize) -> f64 {
+        self.pour_part(expert, 1.0)
+    }
+
+    fn pour_part(&mut self, expert: usize, part: f64) -> f64 {
         let mut places = std::mem::take(&mut self.places[expert]);
         let base = |layer: &Self, slot: usize| {
             let rank = slot / layer.width;
@@ -168,7 +174,8 @@
         let mut change: f64 = 0.0;
         for slot in &places {
             let (height, own) = base(self, *slot);
-            let load = ((level - height) * own).max(0.0);
+            let full = ((level - height) * own).max(0.0);
+            let load = self.loads[*slot] + part * (full - self.loads[*slot]);
             change = change.max((load - self.loads[*slot]).abs());
             self.set_load(*slot, load);
         }
--- a/crates/expert/src/planner.rs
+++ b/crates/expert/src/planner.rs
@@ -150,6 +150,8 @@
             .layer(map, layer, &shares, speeds)
             .with_shares(map.shares(layer));
         let before = work.skew();
+        // Even shares hold best when popularity turns; levelling departs from them as it must.
+        (0..self.shape.experts).for_each(|expert| work.split_evenly(expert));
         let price = self.cost.weight / self.cost.horizon * self.shape.layers as f64;
         let limit = (self.shape.width() as f64 * REACH).ceil() as usize;
         let found = search::improve(&mut work, 1.0 + noise, price, limit);
--- a/crates/expert/src/search.rs
+++ b/crates/expert/src/search.rs
@@ -2,6 +2,8 @@
 
 /// Coldest ranks that are tried as partners of the hottest.
 const PARTNERS: usize = 6;
+/// Hottest ranks that are tried one after the other.
+const SOURCES: usize = 6;
 /// Rounds of levelling after each move.
 const ROUNDS: usize = 6;
 
@@ -136,14 +138,20 @@
 }
 
 /// Chooses the move from the hottest rank to a cold one that lowers the sum of squares most for
-/// each weight.
+/// each weight; if the hottest has none, the next hottest is tried.
 fn choose(layer: &Layer<'_>) -> Option<Move> {
     let mut ranks: Vec<usize> = layer.present().collect();
     ranks.sort_by(|a, b| layer.time(*a).total_cmp(&layer.time(*b)));
-    let hottest = *ranks.last()?;
+    let partners = PARTNERS.min(ranks.len().saturating_sub(1));
+    let sources = ranks.iter().rev().take(SOURCES);
+    let mut found = sources.map(|hot| best_move(layer, *hot, &ranks[..partners]));
+    found.find_map(|best| best)
+}
+
+fn best_move(layer: &Layer<'_>, hot: usize, partners: &[usize]) -> Option<Move> {
     let mut best: Option<(f64, Move)> = None;
-    for cold in ranks.iter().take(PARTNERS.min(ranks.len() - 1)) {
-        for (gain, next) in moves(layer, hottest, *cold) {
+    for cold in partners.iter().filter(|cold| **cold != hot) {
+        for (gain, next) in moves(layer, hot, *cold) {
             let gain = gain / next.weights() as f64;
             if gain > best.map_or(f64::EPSILON, |b| b.0) {
                 best = Some((gain, next));
--- a/crates/expert/tests/suite/main.rs
+++ b/crates/expert/tests/suite/main.rs
@@ -2,3 +2,5 @@
 
 mod bad_input;
 mod good_plans;
+mod spec;
+mod switch_safety;
