--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
 mod latency;
+mod skew;
 
 use std::process::ExitCode;
 
@@ -17,11 +18,18 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[(
-    "latency",
-    "latency added to calling the engine directly, memory and idle processor time",
-    latency::run,
-)];
+const MEASURES: &[Measure] = &[
+    (
+        "latency",
+        "latency added to calling the engine directly, memory and idle processor time",
+        latency::run,
+    ),
+    (
+        "skew",
+        "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
+        skew::measure,
+    ),
+];
 
 #[tokio::main]
 async fn main() -> ExitCode {
