--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -5,3 +5,4 @@
 mod plain_path;
 mod refused_calls;
 mod secret_logs;
+mod time_line;
