Fold a log of documents and patches, and spread it over peers

Cause: a process took only whole documents, kept one record for its peers, and every process watched the platform. Ruled out: a watch by each process (6,590 exceed the platform's 2,000 reads a second), and a full list of members on heartbeats (grows with the fleet). Conclusion: suites of conf and peer and the plain path pass.

--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -4,8 +4,9 @@
 use conf::Settings;
 use event::Recorder;
 use gate::Event;
-use node::{Callee, Follow, Operator, Own, Ready, Shutdown, Watch};
+use node::{Callee, Follow, Operator, Overlay, Own, Ready, Shutdown, Watch};
 use once::Ledger;
+use peer::Members;
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use wire::{Listener, Member, Role, Tls};
@@ -55,6 +56,8 @@
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || gatekeeper.hint())
     };
+    follow.take_turns(&member);
+    follow.register(&registry)?;
     let own = Own::new(member, follow.clone(), recorder.clone()).load(load);
     let engine = Engine::new(address);
     let ledger: Box<dyn Ledger> = Box::new(once::Plain::new(RECORDS));
@@ -67,11 +70,18 @@
         metrics: Metrics::register(&registry)?,
         shutdown: shutdown.clone(),
     };
+    let members = Arc::new(Members::default());
+    let overlay = Overlay::new(
+        own.clone(),
+        follow.clone(),
+        members.clone(),
+        settings.peers.clone(),
+    );
     let callee = Arc::new(Callee::new(
         own.clone(),
         follow.clone(),
         recorder.clone(),
-        Arc::default(),
+        members,
     ));
     let parts = {
         let gatekeeper = gatekeeper.clone();
@@ -85,7 +95,9 @@
         shutdown.clone(),
         parts,
     );
-    tokio::spawn(follow.clone().run(settings.platform));
+    let has_peers = !settings.peers.is_empty();
+    tokio::spawn(follow.clone().run(settings.platform, has_peers));
+    tokio::spawn(overlay.run(tls, settings.heartbeat));
     tokio::spawn(adopt(follow.watch(), gatekeeper.clone()));
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,22 +1,33 @@
 //! The configuration: the operators' document, its versions, and the settings of a process.
 
+mod check;
 mod diagnose;
 mod digest;
 mod document;
 mod fold;
+mod history;
 pub mod id;
 mod key;
+mod mistake;
+mod patch;
+mod record;
 mod settings;
 pub mod unit;
+mod verdict;
 mod version;
 
+pub use check::check;
 pub use diagnose::{Error, parse};
 pub use digest::Digest;
 pub use document::{
     Document, Endpoint, Group, Limit, Policy, Priority, Route, SCHEMA, Service, ServiceKind, Team,
     Zone, ZoneState,
 };
-pub use fold::{Fold, Record};
+pub use fold::{Fold, Newer};
+pub use history::{History, Page, Refusal, Snapshot};
 pub use key::TeamKey;
+pub use mistake::Mistake;
+pub use record::{Change, Piece, Record, VALUE_LIMIT, Whole, split};
 pub use settings::{Format, Identity, Listen, Log, Settings};
+pub use verdict::{Outcome, Position, Verdict};
 pub use version::{Number, Version};
--- /dev/null
+++ b/crates/conf/src/patch.rs
@@ -0,0 +1,79 @@
+use std::collections::BTreeMap;
+
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+
+use crate::{Document, Mistake};
+
+/// Applies a JSON merge patch; only the touched entries are written and read anew.
+///
+/// # Errors
+///
+/// Returns the first place that does not fit a document.
+pub(crate) fn merge(document: &Document, patch: &Value) -> Result<Document, Mistake> {
+    let fields = object("patch", patch)?;
+    let mut next = document.clone();
+    for (field, change) in fields {
+        match field.as_str() {
+            "schema" => replace("schema", &mut next.schema, change)?,
+            "zones" => entries("zones", &mut next.zones, change)?,
+            "services" => entries("services", &mut next.services, change)?,
+            "groups" => entries("groups", &mut next.groups, change)?,
+            "endpoints" => entries("endpoints", &mut next.endpoints, change)?,
+            "teams" => entries("teams", &mut next.teams, change)?,
+            "policy" => replace("policy", &mut next.policy, change)?,
+            other => {
+                let rule = "is not a field of the document";
+                return Err(Mistake::new(other, "", rule, "take it out"));
+            }
+        }
+    }
+    Ok(next)
+}
+
+fn object<'a>(path: &str, value: &'a Value) -> Result<&'a Map<String, Value>, Mistake> {
+    value
+        .as_object()
+        .ok_or_else(|| Mistake::new(path, value, "is not an object", "write { ... }"))
+}
+
+fn entries<T>(section: &str, all: &mut BTreeMap<SmolStr, T>, change: &Value) -> Result<(), Mistake>
+where
+    T: DeserializeOwned + Serialize,
+{
+    for (name, change) in object(section, change)? {
+        let path = format!("{section}.{name}");
+        if change.is_null() {
+            all.remove(name.as_str());
+            continue;
+        }
+        let old = all.get(name.as_str());
+        all.insert(name.into(), merged(&path, old, change)?);
+    }
+    Ok(())
+}
+
+fn replace<T>(path: &str, value: &mut T, change: &Value) -> Result<(), Mistake>
+where
+    T: DeserializeOwned + Serialize,
+{
+    *value = merged(path, Some(value), change)?;
+    Ok(())
+}
+
+fn merged<T>(path: &str, old: Option<&T>, change: &Value) -> Result<T, Mistake>
+where
+    T: DeserializeOwned + Serialize,
+{
+    let mut value = serde_json::to_value(old).unwrap_or(Value::Null);
+    json_patch::merge(&mut value, change);
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let inner = e.path().to_string();
+        let path = match inner.as_str() {
+            "." => path.to_owned(),
+            inner => format!("{path}.{inner}"),
+        };
+        Mistake::new(&path, "", &e.inner().to_string(), "see docs/CONFIG.md")
+    })
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,7 +3,7 @@
 use anyhow::Context as _;
 use conf::Settings;
 use event::Recorder;
-use node::{Callee, Follow, Links, Operator, Own, Ready, Watch};
+use node::{Callee, Follow, Links, Operator, Overlay, Own, Ready, Watch};
 use peer::Members;
 use prometheus::Registry;
 use route::{Event, Plain};
@@ -53,9 +53,17 @@
         address: ready.peers,
         leaving: false,
     };
+    follow.take_turns(&member);
+    follow.register(&registry)?;
     let own = Own::new(member, follow.clone(), recorder.clone());
+    let overlay = Overlay::new(
+        own.clone(),
+        follow.clone(),
+        members.clone(),
+        settings.peers.clone(),
+    );
     let links = Links::new(
-        tls,
+        tls.clone(),
         own.clone(),
         follow.clone(),
         fleet.clone(),
@@ -87,7 +95,9 @@
         shutdown.clone(),
         parts,
     );
-    tokio::spawn(follow.clone().run(settings.platform));
+    let has_peers = !settings.peers.is_empty();
+    tokio::spawn(follow.clone().run(settings.platform, has_peers));
+    tokio::spawn(overlay.run(tls, settings.heartbeat));
     tokio::spawn(adopt(follow.watch(), links, fleet, chooser.clone()));
     tokio::spawn(tick(chooser));
     tokio::spawn(node::serve(listener, callee, None));
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -4,153 +4,281 @@
     time::Duration,
 };
 
-use anyhow::Context as _;
-use bytes::Bytes;
-use conf::{Fold, Number};
+use conf::{History, Page, Position, Refusal, Verdict};
 use event::{Kind, Recorder};
-use http::Request;
-use http_body_util::{BodyExt as _, Empty, Limited};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+use peer::Watch as Turn;
+use prometheus::Registry;
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
 };
-use serde::Deserialize;
-use smol_str::SmolStr;
-use tokio::{sync::watch, time};
+use wire::{Beat, Member, Pulse};
 
-use crate::{Current, Watch};
+use crate::{Current, Watch, counts::Counts, platform::Platform};
 
-/// Longest wait of a watch at the platform.
-const WAIT: Duration = Duration::from_secs(10);
-/// Time that an answer may take beyond the wait.
-const GRACE: Duration = Duration::from_secs(2);
-/// Pause after a failed read.
+/// Pause after a failed read, and between two looks whether it is the own turn to read.
 const PAUSE: Duration = Duration::from_millis(300);
-/// Largest answer of the platform, in bytes.
-const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Time for which a new process waits for word from a peer before it trusts the platform.
+const PEERS_FIRST: Duration = Duration::from_secs(2);
 
-/// Follows the configuration that the platform publishes.
+/// Follows the configuration, from the platform and from peers, and hands it on.
 ///
-/// Lock order: `state` is never held across an await, and no other lock is taken under it.
+/// Lock order: `history`, then `turn`; neither is held across an await.
 #[derive(Clone)]
 pub struct Follow {
-    state: Arc<Mutex<State>>,
-    current: Arc<watch::Sender<Current>>,
-    recorder: Recorder,
-}
-
-#[derive(Default)]
-struct State {
-    fold: Fold,
-    records: Vec<(Number, SmolStr)>,
+    shared: Arc<Shared>,
 }
 
-#[derive(Deserialize)]
-struct Page {
-    records: Vec<SmolStr>,
+struct Shared {
+    history: Mutex<History>,
+    turn: Mutex<Option<Turn>>,
+    current: watch::Sender<Current>,
+    news: watch::Sender<u64>,
+    heard: watch::Sender<bool>,
+    read: watch::Sender<Option<bool>>,
+    pulling: tokio::sync::Mutex<()>,
+    counts: Counts,
+    recorder: Recorder,
 }
 
 impl Follow {
     /// Creates a follower that knows nothing yet.
     #[must_use]
     pub fn new(recorder: Recorder) -> Self {
-        let current = Arc::new(watch::Sender::new(Current::default()));
-        Self {
-            state: Arc::default(),
-            current,
+        let shared = Shared {
+            history: Mutex::default(),
+            turn: Mutex::default(),
+            current: watch::Sender::default(),
+            news: watch::Sender::default(),
+            heard: watch::Sender::default(),
+            read: watch::Sender::default(),
+            pulling: tokio::sync::Mutex::default(),
+            counts: Counts::new(),
             recorder,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Makes the process take turns at the platform with the others of its availability zone.
+    pub fn take_turns(&self, member: &Member) {
+        if let Ok(mut turn) = self.shared.turn.lock() {
+            *turn = Some(Turn::new(member, Instant::now()));
         }
     }
 
+    /// Adds the counts of the configuration's spread to the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they were added before.
+    pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
+        self.shared.counts.register(registry)
+    }
+
     /// Returns a receiver of each change.
     #[must_use]
     pub fn watch(&self) -> Watch {
-        self.current.subscribe()
+        self.shared.current.subscribe()
     }
 
     /// Returns the configuration in force.
     #[must_use]
     pub fn current(&self) -> Current {
-        self.current.borrow().clone()
+        self.shared.current.borrow().clone()
+    }
+
+    /// Returns the place in the published log that was reached.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        self.with(|history| history.fold().position())
+    }
+
+    /// Returns the newest verdicts, oldest first.
+    #[must_use]
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        self.with(|history| history.verdicts().iter().cloned().collect())
+    }
+
+    /// Returns how often another log than the own one was offered.
+    #[must_use]
+    pub fn alarms(&self) -> u64 {
+        self.shared.counts.alarms()
     }
 
-    /// Returns the accepted records after a version, oldest first.
+    /// Says why no configuration is in force.
     #[must_use]
-    pub fn records(&self, after: Number) -> Vec<SmolStr> {
-        let Ok(state) = self.state.lock() else {
-            return Vec::new();
+    pub fn lack(&self) -> String {
+        let peers = if *self.shared.heard.borrow() {
+            "peers know none"
+        } else {
+            "no peer answers"
         };
-        state
-            .records
-            .iter()
-            .filter(|(number, _)| *number > after)
-            .map(|(_, text)| text.clone())
-            .collect()
-    }
-
-    /// Takes in published records, from the platform or from a peer.
-    pub fn take(&self, records: &[SmolStr]) {
-        for text in records {
-            self.take_one(text);
-        }
+        let platform = match *self.shared.read.borrow() {
+            None => "the platform was not read yet",
+            Some(false) => "the platform does not answer",
+            Some(true) => "the platform has published no valid one",
+        };
+        format!("no configuration yet: {peers}, and {platform}")
     }
 
-    fn take_one(&self, text: &SmolStr) {
-        let Ok(mut state) = self.state.lock() else {
-            return;
+    /// Returns what a process lacks that knows the log up to a place.
+    #[must_use]
+    pub fn page(&self, after: Position) -> Option<Page> {
+        self.with(|history| history.page(after))
+    }
+
+    fn with<T: Default>(&self, read: impl FnOnce(&History) -> T) -> T {
+        let history = self.shared.history.lock();
+        history.map(|history| read(&history)).unwrap_or_default()
+    }
+
+    /// Takes in a page, from the platform or from a peer; returns how many records were new.
+    pub fn take(&self, page: &Page) -> u64 {
+        let Ok(mut history) = self.shared.history.lock() else {
+            return 0;
         };
-        if let Err(reason) = state.fold.apply(text) {
-            log::debug!("a record of the configuration was not taken: {reason}");
+        let before = (history.fold().position(), history.fold().version());
+        let result = history.take(page);
+        let (position, current) = (history.fold().position(), Current::from(history.fold()));
+        if position > before.0 {
+            self.shared.news.send_modify(|count| *count += 1);
+        }
+        if current.version != before.1 {
+            let number = current.version.number;
+            self.shared.current.send_replace(current);
+            self.shared.recorder.record(None, Kind::Version { number });
+            log::info!("configuration version {number} is in force");
+        }
+        drop(history);
+        if let Err(refusal) = result {
+            self.refuse(refusal);
+        }
+        position - before.0
+    }
+
+    fn refuse(&self, refusal: Refusal) {
+        if matches!(refusal, Refusal::Gap(_)) {
+            log::debug!("{refusal}");
             return;
         }
-        let current = Current::from(&state.fold);
-        let number = current.version.number;
-        state.records = vec![(number, text.clone())];
-        self.current.send_replace(current);
-        self.recorder.record(None, Kind::Version { number });
-        log::info!("configuration version {number} is in force");
-    }
-
-    /// Reads and watches the platform for ever, one address after the other.
-    pub async fn run(self, platform: Vec<SocketAddr>) {
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        for address in platform.iter().cycle() {
-            while let Err(e) = self.read(&client, *address).await {
-                log::warn!("the platform at {address} gave no configuration: {e:#}");
-                time::sleep(PAUSE).await;
-                if platform.len() > 1 {
-                    break;
+        self.shared.counts.alarm();
+        log::error!("{refusal}");
+    }
+
+    /// Takes in what a heartbeat tells of the platform's watchers and of the sender's version.
+    pub fn hear(&self, beat: &Beat) {
+        self.shared.heard.send_if_modified(|heard| {
+            let first = !*heard;
+            *heard = true;
+            first
+        });
+        let own = self.current().version;
+        if own.number == beat.version.number && own.chain != beat.version.chain {
+            self.shared.counts.alarm();
+            log::error!(
+                "{} has another version {}; the own is kept",
+                beat.member.process,
+                own.number
+            );
+        }
+        if let Ok(mut turn) = self.shared.turn.lock()
+            && let Some(turn) = turn.as_mut()
+        {
+            turn.hear(&beat.watchers, Instant::now());
+        }
+    }
+
+    /// Returns the signs of life of the platform's watchers.
+    #[must_use]
+    pub fn pulses(&self) -> Vec<Pulse> {
+        let turn = self.shared.turn.lock();
+        let pulses = turn.map(|turn| turn.as_ref().map(|turn| turn.pulses(Instant::now())));
+        pulses.ok().flatten().unwrap_or_default()
+    }
+
+    /// Returns a receiver that hears when heartbeats should go out at once.
+    pub(crate) fn news(&self) -> watch::Receiver<u64> {
+        self.shared.news.subscribe()
+    }
+
+    /// Makes heartbeats go out at once.
+    pub(crate) fn tell(&self) {
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the lock that lets one link at a time pull records.
+    pub(crate) fn pulling(&self) -> &tokio::sync::Mutex<()> {
+        &self.shared.pulling
+    }
+
+    pub(crate) fn count_traffic(&self, bytes: u64) {
+        self.shared.counts.traffic(bytes);
+    }
+
+    /// Waits for word from a peer, for a short time, if there are peers to hear from.
+    async fn ask_peers(&self, peers: bool) {
+        if peers {
+            let mut heard = self.shared.heard.subscribe();
+            let known = async {
+                let _ = heard.wait_for(|heard| *heard).await;
+                let mut current = self.watch();
+                let _ = current.wait_for(|c| c.document.is_some()).await;
+            };
+            let _ = time::timeout(PEERS_FIRST, known).await;
+        }
+    }
+
+    /// Returns whether it is the own turn to read the platform.
+    fn is_own_turn(&self) -> bool {
+        let endpoints = self.current().document.map_or(0, |d| d.endpoints.len());
+        let Ok(mut turn) = self.shared.turn.lock() else {
+            return false;
+        };
+        turn.as_mut()
+            .is_none_or(|turn| turn.tick(endpoints, Instant::now()))
+    }
+
+    /// Reads and watches the platform for ever whenever it is the own turn, after asking peers first if there are any.
+    pub async fn run(self, platform: Vec<SocketAddr>, peers: bool) {
+        self.ask_peers(peers).await;
+        let platform = Platform::new(platform);
+        loop {
+            if !self.is_own_turn() {
+                time::sleep(PAUSE / 3).await;
+                continue;
+            }
+            self.shared.counts.read();
+            let result = platform.read(self.position()).await;
+            self.shared.read.send_replace(Some(result.is_ok()));
+            match result {
+                Ok(page) => self.answered(page.as_ref()),
+                Err(e) => {
+                    self.failed();
+                    log::warn!("{e:#}");
+                    time::sleep(PAUSE).await;
                 }
             }
         }
     }
 
-    async fn read(
-        &self,
-        client: &Client<HttpConnector, Empty<Bytes>>,
-        address: SocketAddr,
-    ) -> anyhow::Result<()> {
-        let after = self.current.borrow().version.number;
-        let uri = format!(
-            "http://{address}/v1/log?after={after}&wait={}",
-            WAIT.as_millis()
-        );
-        let request = Request::get(uri).body(Empty::new())?;
-        let read = async {
-            let answer = client.request(request).await?;
-            anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
-            let body = Limited::new(answer.into_body(), ANSWER_LIMIT)
-                .collect()
-                .await
-                .map_err(anyhow::Error::from_boxed)?;
-            Ok(body.to_bytes())
-        };
-        let bytes = time::timeout(WAIT + GRACE, read)
-            .await
-            .context("no answer in time")??;
-        let page: Page =
-            serde_json::from_slice(&bytes).context("the answer is not a page of records")?;
-        self.take(&page.records);
-        Ok(())
+    fn failed(&self) {
+        if let Ok(mut turn) = self.shared.turn.lock()
+            && let Some(turn) = turn.as_mut()
+        {
+            turn.failed();
+        }
+    }
+
+    fn answered(&self, page: Option<&Page>) {
+        if let Ok(mut turn) = self.shared.turn.lock()
+            && let Some(turn) = turn.as_mut()
+        {
+            turn.answered(Instant::now());
+        }
+        if let Some(page) = page {
+            self.take(page);
+        }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,11 +1,14 @@
 //! What every process of the system has: links, configuration, health, and an orderly end.
 
+mod counts;
 mod current;
 mod follow;
 mod link;
 mod listen;
 mod member;
 mod operator;
+mod overlay;
+mod platform;
 mod setup;
 mod signal;
 
@@ -15,5 +18,6 @@
 pub use listen::{Callee, Orders, Work, serve};
 pub use member::{Own, incarnation};
 pub use operator::{Operator, Status};
+pub use overlay::Overlay;
 pub use setup::{Command, Ready, command, fail, settings, start};
 pub use signal::{Shutdown, shutdown};
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -8,12 +8,16 @@
 use anyhow::Context as _;
 use tarpc::context;
 use tokio::{task::JoinHandle, time};
-use wire::{Beat, ControlClient, Link, Tls};
+use wire::{Beat, ControlClient, Link, Member, Tls};
 
 use crate::{Follow, Own};
 
 /// Time in which a dial or heartbeat must be answered.
 const ANSWER: Duration = Duration::from_millis(1000);
+/// Time in which a page of the configuration's log must be answered.
+const PAGE: Duration = Duration::from_secs(3);
+/// Shortest time between two heartbeats on a link, when there is news.
+const NEWS: Duration = Duration::from_millis(20);
 /// First and longest pause between two dials.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
@@ -23,6 +27,10 @@
     fn beat(&self, address: SocketAddr, beat: &Beat);
     /// A link went down.
     fn down(&self, address: SocketAddr);
+    /// The other side of a link told which processes it knows.
+    fn members(&self, members: Vec<Member>) {
+        drop(members);
+    }
 }
 
 /// Keeps a link to each wanted address, and dials anew those that break.
@@ -117,21 +125,57 @@
             .await
             .context("no heartbeat in time")??;
         self.own.observe(&beat);
+        self.follow.hear(&beat);
         self.observer.beat(address, &beat);
-        self.learn(client, &beat).await
+        if beat.position > self.follow.position() {
+            self.learn(client, &beat).await
+        } else {
+            self.teach(client, &beat).await
+        }
     }
 
-    /// Pulls the records that the other side has and this one lacks.
+    /// Pulls what the other side has of the log and this one lacks, unless another link does so now.
     async fn learn(&self, client: &ControlClient, beat: &Beat) -> anyhow::Result<()> {
-        let own = self.follow.current().version.number;
-        if beat.version.number <= own {
+        let Ok(_pulling) = self.follow.pulling().try_lock() else {
             return Ok(());
+        };
+        while self.follow.position() < beat.position {
+            let call = client.records(context::current(), self.follow.position());
+            let page = time::timeout(PAGE, call)
+                .await
+                .context("no records in time")??;
+            let Some(page) = page else {
+                break;
+            };
+            if self.follow.take(&page) == 0 {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands over what the other side lacks.
+    async fn teach(&self, client: &ControlClient, beat: &Beat) -> anyhow::Result<()> {
+        let mut reached = beat.position;
+        while let Some(page) = self.follow.page(reached) {
+            let call = client.teach(context::current(), page);
+            let now = time::timeout(PAGE, call)
+                .await
+                .context("no answer to records in time")??;
+            if now <= reached {
+                break;
+            }
+            reached = now;
         }
-        let call = client.records(context::current(), own);
-        let records = time::timeout(ANSWER, call)
+        Ok(())
+    }
+
+    async fn ask_members(&self, client: &ControlClient) -> anyhow::Result<()> {
+        let call = client.members(context::current());
+        let members = time::timeout(ANSWER, call)
             .await
-            .context("no records in time")??;
-        self.follow.take(&records);
+            .context("no members in time")??;
+        self.observer.members(members);
         Ok(())
     }
 }
@@ -163,7 +207,9 @@
         Ok(client) => client,
         Err(e) => return e.into(),
     };
-    if let Err(e) = shared.beat(&client, address).await {
+    let mut news = shared.follow.news();
+    let mut told = 0;
+    if let Err(e) = first(shared, &client, address).await {
         return e;
     }
     shared.set(address, Some(link.clone()));
@@ -172,10 +218,20 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
+            Ok(()) = news.changed() => time::sleep(NEWS).await,
             () = link.closed() => return anyhow::anyhow!("closed by the other side or silent"),
         }
+        news.mark_unchanged();
         if let Err(e) = shared.beat(&client, address).await {
             return e;
         }
+        let traffic = link.traffic();
+        shared.follow.count_traffic(traffic - told);
+        told = traffic;
     }
 }
+
+async fn first(shared: &Shared, client: &ControlClient, address: SocketAddr) -> anyhow::Result<()> {
+    shared.beat(client, address).await?;
+    shared.ask_members(client).await
+}
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use conf::Number;
+use conf::{Page, Position};
 use event::{Event, Recorder};
 use futures::future::BoxFuture;
 use peer::Members;
@@ -58,15 +58,21 @@
     fn beat(&self, beat: Beat) -> Beat {
         self.own.observe(&beat);
         self.members.observe(&beat);
+        self.follow.hear(&beat);
         self.own.beat()
     }
 
-    fn records(&self, after: Number) -> Vec<SmolStr> {
-        self.follow.records(after)
+    fn records(&self, after: Position) -> Option<Page> {
+        self.follow.page(after)
+    }
+
+    fn teach(&self, page: &Page) -> Position {
+        self.follow.take(page);
+        self.follow.position()
     }
 
     fn members(&self) -> Vec<Member> {
-        self.members.list()
+        self.members.sample()
     }
 
     fn order(&self, order: Order) -> BoxFuture<'static, Report> {
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -57,6 +57,13 @@
     /// Marks the process as shutting down.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.follow.tell();
+    }
+
+    /// Returns the own process.
+    #[must_use]
+    pub const fn member(&self) -> &Member {
+        &self.member
     }
 
     /// Makes a heartbeat of this moment.
@@ -70,6 +77,8 @@
             stamp: self.recorder.stamp(),
             hint: self.load.as_ref().map(|load| load()),
             suspects: Vec::new(),
+            position: self.follow.position(),
+            watchers: self.follow.pulses(),
         }
     }
 
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -27,6 +27,10 @@
     pub version: u64,
     /// Hash of the configuration's history, as hex.
     pub chain: conf::Digest,
+    /// Place in the published log that was reached.
+    pub position: u64,
+    /// Offers of another log than the own.
+    pub alarms: u64,
     /// Whether the process shuts down.
     pub leaving: bool,
     /// Parts that the role adds.
@@ -97,10 +101,11 @@
             "/ready" => self.ready(),
             "/metrics" => self.metrics(),
             "/status" => json(&self.status()),
+            "/verdicts" => json(&self.follow.verdicts()),
             "/events" => json(&self.recorder.read(from(request.uri().query()))),
             _ => text(
                 StatusCode::NOT_FOUND,
-                "try /live, /ready, /metrics, /status or /events\n",
+                "try /live, /ready, /metrics, /status, /verdicts or /events\n",
             ),
         }
     }
@@ -110,7 +115,8 @@
             return text(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n");
         }
         if self.follow.current().document.is_none() {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
+            let lack = format!("{}\n", self.follow.lack());
+            return text(StatusCode::SERVICE_UNAVAILABLE, &lack);
         }
         text(StatusCode::OK, "ready\n")
     }
@@ -130,6 +136,8 @@
             program: env!("CARGO_PKG_VERSION"),
             version: current.version.number,
             chain: current.version.chain,
+            position: self.follow.position(),
+            alarms: self.follow.alarms(),
             leaving: self.shutdown.is_draining(),
             parts: (self.parts)(),
         }
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -1,10 +1,13 @@
-use std::sync::Mutex;
+use std::{net::SocketAddr, sync::Mutex};
 
 use tokio::time::Instant;
 use wire::{Beat, Member};
 
 use crate::Table;
 
+/// Most processes told to another at a time.
+const SAMPLE: usize = 32;
+
 /// Shares the table of known processes between the parts of one.
 ///
 /// Lock order: `table` is the only lock and is never held across an await.
@@ -21,12 +24,38 @@
         }
     }
 
-    /// Returns the known processes in the order of their names.
+    /// Takes in what a process says about others.
+    pub fn hear(&self, members: Vec<Member>) {
+        let Ok(mut table) = self.table.lock() else {
+            return;
+        };
+        for member in members {
+            table.hear(member, Instant::now());
+        }
+    }
+
+    /// Takes in that the link to an address broke.
+    pub fn broke(&self, address: SocketAddr) {
+        if let Ok(mut table) = self.table.lock() {
+            table.broke(address);
+        }
+    }
+
+    /// Returns the processes that are not known to have failed, in the order of their names.
     #[must_use]
     pub fn list(&self) -> Vec<Member> {
-        self.table
-            .lock()
-            .map(|table| table.members())
-            .unwrap_or_default()
+        let Ok(mut table) = self.table.lock() else {
+            return Vec::new();
+        };
+        table.tick(Instant::now());
+        table.members()
+    }
+
+    /// Returns a bounded part of the list, spread evenly over it.
+    #[must_use]
+    pub fn sample(&self) -> Vec<Member> {
+        let list = self.list();
+        let step = list.len().div_ceil(SAMPLE).max(1);
+        list.into_iter().step_by(step).collect()
     }
 }
--- /dev/null
+++ b/crates/peer/tests/suite/link_choice.rs
@@ -0,0 +1,73 @@
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use peer::{Candidate, Neighbours, choose};
+use tokio::time::{Instant, advance};
+
+fn candidates(zones: &[&str], each: u16) -> Vec<Candidate> {
+    let port = |zone: usize, i: u16| 1 + u16::try_from(zone).unwrap() * each + i;
+    let zones = zones.iter().enumerate();
+    zones
+        .flat_map(|(z, zone)| {
+            (0..each).map(move |i| Candidate {
+                address: ([127, 0, 0, 1], port(z, i)).into(),
+                zone: Some((*zone).into()),
+            })
+        })
+        .collect()
+}
+
+/// Counts the processes that the first one reaches over links between the given ones.
+fn reached(all: &[Candidate], own: &[Candidate]) -> usize {
+    let mut links: HashMap<_, HashSet<_>> = HashMap::new();
+    for c in own {
+        let zone = c.zone.clone().unwrap();
+        let others: Vec<_> = all.iter().filter(|o| *o != c).cloned().collect();
+        for other in choose(&c.address.to_string(), &zone, &others) {
+            links.entry(c.address).or_default().insert(other);
+            links.entry(other).or_default().insert(c.address);
+        }
+    }
+    let within: HashSet<_> = own.iter().map(|c| c.address).collect();
+    let mut seen = HashSet::from([own[0].address]);
+    let mut next = vec![own[0].address];
+    while let Some(address) = next.pop() {
+        for other in &links[&address] {
+            if within.contains(other) && seen.insert(*other) {
+                next.push(*other);
+            }
+        }
+    }
+    seen.len()
+}
+
+#[test]
+fn all_joined() {
+    for each in [2, 5, 50, 700] {
+        let all = candidates(&["a", "b", "c"], each);
+        assert_eq!(reached(&all, &all), all.len());
+        for zone in all.chunks(usize::from(each)) {
+            assert_eq!(reached(&all, zone), zone.len(), "one zone of {each} alone");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn dead_replaced() {
+    let all = candidates(&["a", "b"], 5);
+    let mut neighbours = Neighbours::new("p".into(), "a".into());
+    let first = neighbours.tick(all.clone(), Instant::now());
+    assert_eq!(first.len(), 3);
+    for _ in 0..8 {
+        advance(Duration::from_millis(500)).await;
+        for address in &first[1..] {
+            neighbours.hear(*address, Instant::now());
+        }
+        let second = neighbours.tick(all.clone(), Instant::now());
+        assert!(second.contains(&first[1]) && second.contains(&first[2]));
+    }
+    let second = neighbours.tick(all, Instant::now());
+    assert!(second.len() == 3 && !second.contains(&first[0]));
+}
--- /dev/null
+++ b/crates/peer/tests/suite/member_table.rs
@@ -0,0 +1,44 @@
+use std::time::Duration;
+
+use peer::{Change, State, Table};
+use tokio::time::{Instant, advance};
+
+use crate::member;
+
+#[tokio::test(start_paused = true)]
+async fn lives_told_apart() {
+    let mut table = Table::default();
+    let (old, new) = (member("p", "a", 1, 1), member("p", "a", 2, 1));
+    let mut left = old.clone();
+    left.leaving = true;
+    let now = Instant::now;
+    assert_eq!(table.observe(old.clone(), now()), Change::New);
+    assert_eq!(table.observe(old.clone(), now()), Change::Heard);
+    table.broke(old.address);
+    assert_eq!(table.state("p"), Some(State::Silent));
+    assert_eq!(table.hear(old.clone(), now()), Change::Old);
+    assert_eq!(table.observe(old.clone(), now()), Change::Returned);
+    assert_eq!(table.hear(left.clone(), now()), Change::Left);
+    assert_eq!(table.observe(old.clone(), now()), Change::Old);
+    assert_eq!(table.state("p"), Some(State::Leaving));
+    assert_eq!(table.observe(new.clone(), now()), Change::Restarted);
+    assert_eq!(table.observe(left, now()), Change::Old);
+    assert_eq!(table.state("p"), Some(State::Up));
+    assert_eq!(table.members(), [new]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_fails() {
+    let mut table = Table::default();
+    table.observe(member("p", "a", 1, 1), Instant::now());
+    advance(Duration::from_millis(2999)).await;
+    table.tick(Instant::now());
+    assert_eq!(table.state("p"), Some(State::Up));
+    advance(Duration::from_millis(1)).await;
+    table.tick(Instant::now());
+    assert_eq!(table.state("p"), Some(State::Silent));
+    assert!(table.members().is_empty());
+    advance(Duration::from_secs(600)).await;
+    table.tick(Instant::now());
+    assert_eq!(table.state("p"), None);
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -1,10 +1,9 @@
 use std::{net::SocketAddr, sync::Arc};
 
-use conf::{Number, Version, id};
+use conf::{Page, Position, Version, id};
 use event::{Event, Stamp};
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 use tarpc::context::Context;
 
 use crate::{Order, Report};
@@ -51,6 +50,19 @@
     pub leaving: bool,
 }
 
+/// Sign of life of a process that watches the platform, as others pass it on.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Pulse {
+    /// The watcher.
+    pub process: id::Process,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Number of its life.
+    pub incarnation: id::Incarnation,
+    /// Answers that the platform has given to this life.
+    pub count: u64,
+}
+
 /// Heartbeat, sent both ways on each link.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
@@ -64,6 +76,10 @@
     pub hint: Option<Hint>,
     /// Fingerprints of requests that are suspected of crashing endpoints.
     pub suspects: Vec<u64>,
+    /// Place in the published log that the sender has reached.
+    pub position: Position,
+    /// Watchers of the platform that the sender knows to be well.
+    pub watchers: Vec<Pulse>,
 }
 
 /// Calls between processes.
@@ -71,8 +87,10 @@
 pub trait Control {
     /// Exchanges heartbeats.
     async fn beat(beat: Beat) -> Beat;
-    /// Returns the published records after a version, oldest first, as the platform gave them.
-    async fn records(after: Number) -> Vec<SmolStr>;
+    /// Returns what the callee knows of the published log after a place.
+    async fn records(after: Position) -> Option<Page>;
+    /// Hands over what the callee lacks of the published log; returns the place it reached.
+    async fn teach(page: Page) -> Position;
     /// Returns other processes that the callee knows.
     async fn members() -> Vec<Member>;
     /// Carries out an order of a group's leader.
@@ -85,8 +103,10 @@
 pub trait Callee: Send + Sync {
     /// Takes in a heartbeat and returns the own one.
     fn beat(&self, beat: Beat) -> Beat;
-    /// Returns the published records after a version, oldest first.
-    fn records(&self, after: Number) -> Vec<SmolStr>;
+    /// Returns what is known of the published log after a place.
+    fn records(&self, after: Position) -> Option<Page>;
+    /// Takes in a page of the published log; returns the place reached.
+    fn teach(&self, page: &Page) -> Position;
     /// Returns other processes that this one knows.
     fn members(&self) -> Vec<Member>;
     /// Carries out an order of a group's leader.
@@ -104,10 +124,14 @@
         self.0.beat(beat)
     }
 
-    async fn records(self, _: Context, after: Number) -> Vec<SmolStr> {
+    async fn records(self, _: Context, after: Position) -> Option<Page> {
         self.0.records(after)
     }
 
+    async fn teach(self, _: Context, page: Page) -> Position {
+        self.0.teach(&page)
+    }
+
     async fn members(self, _: Context) -> Vec<Member> {
         self.0.members()
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 mod tls;
 mod trial;
 
-pub use control::{Beat, Callee, Control, ControlClient, Hint, Member, Role};
+pub use control::{Beat, Callee, Control, ControlClient, Hint, Member, Pulse, Role};
 pub use frame::{CHUNK, Frame, Head, Header, Reply, Seal};
 pub use link::{Link, Listener, Purpose, Streams};
 pub use offer::{Attempt, Fingerprint, Key, Offer, Request, Token, Verdict};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -104,6 +104,13 @@
         self.connection.remote_address()
     }
 
+    /// Returns the bytes that the link has carried, both ways, with all headers above UDP.
+    #[must_use]
+    pub fn traffic(&self) -> u64 {
+        let stats = self.connection.stats();
+        stats.udp_tx.bytes + stats.udp_rx.bytes
+    }
+
     /// Opens a stream for one attempt.
     ///
     /// # Errors
