--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use fault::{ErrorKind, Fault};
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt as _, Empty, Limited, StreamBody, combinators::UnsyncBoxBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -18,6 +18,8 @@
 pub(crate) const ATTEMPT: &str = "x-attempt-id";
 /// Time in which a health probe must be answered.
 const PROBE: Duration = Duration::from_secs(1);
+/// Time after which callers come back to an engine that cannot be reached.
+const COME_BACK: Duration = Duration::from_secs(1);
 /// Time for which an idle connection is trusted.
 const IDLE: Duration = Duration::from_secs(2);
 /// Largest answer to a health probe, in bytes.
@@ -80,7 +82,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a fault whose run is unknown: once bytes were sent, nobody but the engine knows.
+    /// Returns a fault whose run is unknown once bytes were sent: nobody but the engine knows.
     pub(crate) async fn send(
         &self,
         offer: &Offer,
@@ -91,14 +93,12 @@
             .ok_or(Fault::new(ErrorKind::Malformed))?;
         let response = self.client.request(request).await.map_err(|e| {
             log::info!("request {}: the engine gave no answer: {e}", offer.request);
+            if e.is_connect() {
+                return Fault::new(ErrorKind::NoEndpoint).retry_after(COME_BACK);
+            }
             Fault::new(ErrorKind::Interrupted)
         })?;
-        let named = response.headers().get(ATTEMPT);
-        if named.is_some_and(|named| named.as_bytes() != attempt_id(offer).as_bytes()) {
-            return Err(
-                Fault::new(ErrorKind::BadAnswer).detail("the engine answered another request")
-            );
-        }
+        check(offer, &response)?;
         Ok(response)
     }
 
@@ -118,6 +118,20 @@
     }
 }
 
+/// Checks that an answer is that of the attempt, and that its end can be told from a cut.
+fn check(offer: &Offer, response: &Response<Incoming>) -> Result<(), Fault> {
+    let named = response.headers().get(ATTEMPT);
+    if named.is_some_and(|named| named.as_bytes() != attempt_id(offer).as_bytes()) {
+        return Err(Fault::new(ErrorKind::BadAnswer).detail("the engine answered another request"));
+    }
+    let chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+    if response.body().size_hint().exact().is_none() && !chunked {
+        return Err(Fault::new(ErrorKind::BadAnswer)
+            .detail("the engine's answer has neither a length nor chunks"));
+    }
+    Ok(())
+}
+
 fn attempt_id(offer: &Offer) -> smol_str::SmolStr {
     format_smolstr!("{}.{}", offer.request, offer.attempt)
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,8 @@
 mod engine;
 mod health;
 mod metrics;
+mod outlet;
+mod record;
 mod run;
 mod serve;
 mod start;
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,4 +1,5 @@
 use fault::Fault;
+use once::Usage;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Metrics of an agent.
@@ -9,6 +10,12 @@
     pub(crate) runs: IntCounter,
     /// Attempts in flight at the engine.
     pub(crate) running: IntGauge,
+    /// Answers of the engine that were dropped because they are not whole or not its own.
+    pub(crate) strays: IntCounter,
+    /// Records of runs that may not be repeated.
+    pub(crate) records: IntGauge,
+    /// Bytes of answers stored with them.
+    pub(crate) record_bytes: IntGauge,
 }
 
 impl Metrics {
@@ -22,13 +29,33 @@
             refusals: IntCounterVec::new(refusals, &["kind"])?,
             runs: IntCounter::new("apricot_agent_runs_total", "Attempts started at the engine")?,
             running: IntGauge::new("apricot_agent_running", "Attempts in flight at the engine")?,
+            strays: IntCounter::new(
+                "apricot_agent_strays_total",
+                "Answers of the engine dropped because they are not whole or not its own",
+            )?,
+            records: IntGauge::new("apricot_agent_records", "Run records held")?,
+            record_bytes: IntGauge::new(
+                "apricot_agent_record_bytes",
+                "Bytes of answers stored with run records",
+            )?,
         };
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.runs.clone()))?;
         registry.register(Box::new(metrics.running.clone()))?;
+        registry.register(Box::new(metrics.strays.clone()))?;
+        registry.register(Box::new(metrics.records.clone()))?;
+        registry.register(Box::new(metrics.record_bytes.clone()))?;
         Ok(metrics)
     }
 
+    /// Tells what the ledger keeps.
+    pub(crate) fn keeps(&self, usage: Usage) {
+        self.records
+            .set(i64::try_from(usage.records).unwrap_or(i64::MAX));
+        self.record_bytes
+            .set(i64::try_from(usage.bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts a refusal.
     pub(crate) fn refused(&self, fault: &Fault) {
         self.refusals
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,7 +1,7 @@
-use std::io;
+use std::{io, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
-use fault::{ErrorKind, Fault};
+use fault::{ErrorKind, Fault, Run as Known};
 use gate::Outcome;
 use http::Response;
 use http_body_util::BodyExt as _;
@@ -11,9 +11,12 @@
     sync::mpsc,
     time::{self, Instant},
 };
-use wire::{CHUNK, Head, Header, Offer, Reply};
+use wire::{CHUNK, Head, Header, Offer, Reply, Seal};
 
-use crate::{admit::Slot, engine::Engine};
+use crate::{admit::Slot, engine::Engine, metrics::Metrics, outlet::Outlet};
+
+/// Largest answer that is stored, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
 
 /// Headers of an engine's answer that concern one connection only and do not pass through.
 const HOP_BY_HOP: [&str; 6] = [
@@ -30,58 +33,70 @@
     pub(crate) engine: Engine,
     pub(crate) offer: Offer,
     pub(crate) deadline: Instant,
+    pub(crate) metrics: Metrics,
     /// Where the answer goes.
-    pub(crate) replies: mpsc::Sender<Reply>,
+    pub(crate) outlet: Arc<Outlet>,
     /// Whether the answer is kept and the run goes on although nobody reads it.
     pub(crate) keep: bool,
 }
 
+/// How a run ended.
+pub(crate) enum Ended {
+    /// The answer is whole and is kept.
+    Kept(Answer),
+    /// Nothing reached the engine.
+    NotRun,
+    /// It is over, and nothing of it is kept.
+    Gone,
+}
+
 impl Run {
-    /// Runs the attempt; returns its whole answer if that is kept.
-    pub(crate) async fn run(
-        self,
-        body: mpsc::Receiver<io::Result<Bytes>>,
-        slot: Slot,
-    ) -> Option<Answer> {
+    /// Runs the attempt.
+    pub(crate) async fn run(&self, body: mpsc::Receiver<io::Result<Bytes>>, slot: Slot) -> Ended {
         let result = tokio::select! {
             result = time::timeout_at(self.deadline, self.answer(body, &slot)) => result,
             () = self.abandoned() => {
                 slot.finish(Outcome::Cancelled);
-                return None;
+                return Ended::Gone;
             }
         };
         match result.unwrap_or_else(|_| Err(ErrorKind::DeadlineRunning.into())) {
-            Ok(answer) => {
+            Ok((seal, answer)) => {
                 slot.finish(Outcome::Done);
-                answer
+                self.outlet.finish(Ok(seal));
+                answer.map_or(Ended::Gone, Ended::Kept)
             }
             Err(fault) => {
                 slot.finish(Outcome::Broken);
-                let _ = self.replies.send(Reply::Failed { fault }).await;
-                None
+                if fault.kind() == ErrorKind::BadAnswer {
+                    self.metrics.strays.inc();
+                }
+                let not_run = fault.run() == Known::No;
+                self.outlet.finish(Err(fault));
+                if not_run { Ended::NotRun } else { Ended::Gone }
             }
         }
     }
 
-    /// Waits until nobody reads the answer of a run that need not go on.
+    /// Waits until nobody wants the answer of a run that need not go on.
     async fn abandoned(&self) {
         if self.keep {
             std::future::pending::<()>().await;
         }
-        self.replies.closed().await;
+        self.outlet.left().await;
     }
 
     async fn answer(
         &self,
         body: mpsc::Receiver<io::Result<Bytes>>,
         slot: &Slot,
-    ) -> Result<Option<Answer>, Fault> {
+    ) -> Result<(Seal, Option<Answer>), Fault> {
         let response = self.engine.send(&self.offer, body).await?;
         slot.first();
         let head = self.head(&response);
-        self.reply(Reply::Head(head.clone())).await;
-        let kept = self.body(response.into_body()).await?;
-        Ok(self.keep.then(|| Answer { head, body: kept }))
+        self.outlet.begin(head.clone());
+        let (seal, body) = self.body(response.into_body()).await?;
+        Ok((seal, body.map(|body| Answer { head, body })))
     }
 
     fn head(&self, response: &Response<Incoming>) -> Head {
@@ -103,31 +118,26 @@
         }
     }
 
-    async fn body(&self, mut body: Incoming) -> Result<Bytes, Fault> {
+    /// Passes the body on; returns it too if it is kept.
+    async fn body(&self, mut body: Incoming) -> Result<(Seal, Option<Bytes>), Fault> {
         let mut check = Delivery::new(self.offer.request.clone(), self.offer.attempt);
-        let mut kept = BytesMut::new();
+        let mut kept = self.keep.then(BytesMut::new);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ErrorKind::Interrupted)?;
             let Ok(mut data) = frame.into_data() else {
                 continue;
             };
-            if self.keep {
+            kept = kept.filter(|kept| kept.len() + data.len() <= ANSWER_LIMIT);
+            if let Some(kept) = &mut kept {
                 kept.extend_from_slice(&data);
             }
             while !data.is_empty() {
-                let piece = self.piece(check.length(), data.split_to(data.len().min(CHUNK)));
-                check.accept(piece.clone())?;
-                self.reply(piece).await;
+                let piece = data.split_to(data.len().min(CHUNK));
+                check.accept(self.piece(check.length(), piece.clone()))?;
+                self.outlet.push(piece).await;
             }
         }
-        let (request, attempt) = (self.offer.request.clone(), self.offer.attempt);
-        self.reply(Reply::End {
-            request,
-            attempt,
-            seal: check.seal(),
-        })
-        .await;
-        Ok(kept.freeze())
+        Ok((check.seal(), kept.map(BytesMut::freeze)))
     }
 
     fn piece(&self, offset: u64, data: Bytes) -> Reply {
@@ -138,9 +148,4 @@
             data,
         }
     }
-
-    /// Passes a message on; a run that is kept goes on although nobody reads it.
-    async fn reply(&self, reply: Reply) {
-        let _ = self.replies.send(reply).await;
-    }
 }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -1,7 +1,4 @@
-use std::{
-    io,
-    sync::{Arc, Mutex},
-};
+use std::{io, sync::Arc};
 
 use bytes::Bytes;
 use conf::id;
@@ -10,47 +7,35 @@
 use futures::future::BoxFuture;
 use gate::Ask;
 use node::{Shutdown, Work};
-use once::{Answer, Delivery, Ledger, Reserve, Reserved};
-use tokio::{
-    sync::mpsc,
-    time::{self, Instant},
-};
+use once::{Answer, Delivery};
+use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
 use wire::{CHUNK, Frame, Head, Offer, Receiver, Reply, Sender, Token, Verdict};
 
 use crate::{
     admit::{Gatekeeper, Slot},
     engine::Engine,
     metrics::Metrics,
+    outlet::{self, Outlet, Outlets, Read},
+    record::{Book, Hold, Reservation},
     run::Run,
 };
 
-/// Messages of an answer that wait for the entry to read them.
+/// Pieces of a request body that wait for the engine to read them.
 const WAITING: usize = 4;
 
 /// Serves the attempts that entries offer.
-///
-/// Lock order: `ledger` is never held across an await, nor while the gatekeeper is told anything.
 #[derive(Clone)]
 pub(crate) struct Server {
     pub(crate) endpoint: id::Endpoint,
     pub(crate) gatekeeper: Gatekeeper,
-    pub(crate) ledger: Arc<Mutex<Box<dyn Ledger>>>,
+    pub(crate) book: Book,
+    pub(crate) outlets: Outlets,
     pub(crate) engine: Engine,
     pub(crate) recorder: Recorder,
     pub(crate) metrics: Metrics,
     pub(crate) shutdown: Shutdown,
 }
 
-/// What the reserve stage found.
-enum Reservation {
-    /// The attempt may be repeated and starts at once.
-    None,
-    /// The attempt starts when the token comes back.
-    Token(Token),
-    /// The attempt was run before.
-    Replay(Arc<Answer>),
-}
-
 impl Work for Server {
     fn work(&self, sender: Sender<Reply>, receiver: Receiver<Frame>) -> BoxFuture<'static, ()> {
         let server = self.clone();
@@ -69,61 +54,75 @@
         mut sender: Sender<Reply>,
         mut receiver: Receiver<Frame>,
     ) -> io::Result<()> {
-        let Some(Frame::Offer(offer)) = receiver.receive().await? else {
-            return Err(io::Error::other("the first message is not an offer"));
-        };
+        match receiver.receive().await? {
+            Some(Frame::Offer(offer)) => self.offered(sender, receiver, *offer).await,
+            Some(Frame::Resume {
+                request,
+                attempt,
+                offset,
+            }) => match self.outlets.find(&request, attempt) {
+                Some(outlet) => {
+                    let left = tokio::spawn(leaves(receiver));
+                    self.answer(sender, outlet, offset, left).await;
+                    Ok(())
+                }
+                None => {
+                    let fault = ErrorKind::Interrupted.into();
+                    sender.send(&Reply::Failed { fault }).await?;
+                    outlet::flush(&mut sender).await;
+                    Ok(())
+                }
+            },
+            _ => Err(io::Error::other("the first message starts no attempt")),
+        }
+    }
+
+    async fn offered(
+        self,
+        mut sender: Sender<Reply>,
+        mut receiver: Receiver<Frame>,
+        offer: Offer,
+    ) -> io::Result<()> {
         let deadline = Instant::now() + offer.time_left;
         self.recorder.observe(offer.stamp);
+        let reservation = match self.book.reserve(&offer, deadline) {
+            Ok(reservation) => reservation,
+            Err(fault) => return self.refuse(&mut sender, &offer, fault).await,
+        };
+        let mut hold = match reservation {
+            Reservation::Replay(answer) => {
+                self.admit(&mut sender, Some(Token::default())).await?;
+                return replay(&mut sender, &offer, &answer).await;
+            }
+            Reservation::Held(hold) => Some(hold),
+            Reservation::None => None,
+        };
         let slot = tokio::select! {
             slot = self.gatekeeper.admit(ask(&offer, deadline)) => slot,
             _ = receiver.receive() => return Ok(()),
         };
         let slot = match slot {
             Ok(slot) => slot,
-            Err(fault) => return self.refuse(&mut sender, &offer, fault).await,
-        };
-        match self.reserve(&offer) {
-            Ok(Reservation::None) => {
-                self.admit(&mut sender, None).await?;
-                self.run(sender, receiver, *offer, deadline, slot).await
+            Err(fault) => {
+                let fault = match hold {
+                    Some(hold) => hold.refuse(fault),
+                    None => fault,
+                };
+                return self.refuse(&mut sender, &offer, fault).await;
             }
-            Ok(Reservation::Token(token)) => {
-                let started = self
-                    .await_go(&mut sender, &mut receiver, &offer, token)
-                    .await?;
-                if started {
-                    self.run(sender, receiver, *offer, deadline, slot).await
-                } else {
-                    Ok(())
-                }
-            }
-            Ok(Reservation::Replay(answer)) => {
-                drop(slot);
-                let token = Some(Token::default());
-                self.admit(&mut sender, token).await?;
-                replay(&mut sender, &offer, &answer).await
-            }
-            Err(fault) => self.refuse(&mut sender, &offer, fault).await,
-        }
-    }
-
-    /// Reserve stage: makes a record for an attempt that may not be repeated.
-    fn reserve(&self, offer: &Offer) -> Result<Reservation, Fault> {
-        let Some(key) = &offer.key else {
-            return Ok(Reservation::None);
-        };
-        let reserve = Reserve {
-            key: key.clone(),
-            request: offer.request.clone(),
-            attempt: offer.attempt,
-            fingerprint: offer.fingerprint,
         };
-        let mut ledger = self.ledger.lock().map_err(|_| ErrorKind::Internal)?;
-        match ledger.reserve(reserve, Instant::now()) {
-            Reserved::Token(token) => Ok(Reservation::Token(token)),
-            Reserved::Replay(answer) => Ok(Reservation::Replay(answer)),
-            Reserved::Refused(fault) => Err(fault),
+        self.admit(&mut sender, hold.as_ref().map(Hold::token))
+            .await?;
+        if let Some(hold) = &mut hold
+            && let Err(fault) = await_go(hold, &mut receiver).await?
+        {
+            sender.send(&Reply::Failed { fault }).await?;
+            outlet::flush(&mut sender).await;
+            return Ok(());
         }
+        self.run(sender, receiver, offer, deadline, slot, hold)
+            .await;
+        Ok(())
     }
 
     async fn admit(&self, sender: &mut Sender<Reply>, token: Option<Token>) -> io::Result<()> {
@@ -152,91 +151,89 @@
             hint: self.gatekeeper.hint(),
         };
         sender.send(&Reply::Verdict(verdict)).await?;
-        sender.finish();
+        outlet::flush(sender).await;
         Ok(())
     }
 
-    /// Waits for the entry to start a reserved run; returns whether it may run.
-    async fn await_go(
-        &self,
-        sender: &mut Sender<Reply>,
-        receiver: &mut Receiver<Frame>,
-        offer: &Offer,
-        token: Token,
-    ) -> io::Result<bool> {
-        let Some(key) = &offer.key else {
-            return Ok(true);
-        };
-        let admitted = self.admit(sender, Some(token)).await;
-        let message = if admitted.is_ok() {
-            receiver.receive().await
-        } else {
-            Ok(None)
-        };
-        let Ok(mut ledger) = self.ledger.lock() else {
-            return Ok(false);
-        };
-        if let Ok(Some(Frame::Go { token })) = message {
-            return Ok(ledger.start(key, token, Instant::now()).is_ok());
-        }
-        ledger.withdraw(key, token, Instant::now());
-        Ok(false)
-    }
-
     /// Run and answer stages: both go on side by side until the answer is complete.
     async fn run(
         self,
-        mut sender: Sender<Reply>,
+        sender: Sender<Reply>,
         receiver: Receiver<Frame>,
         offer: Offer,
         deadline: Instant,
         slot: Slot,
-    ) -> io::Result<()> {
+        hold: Option<Hold>,
+    ) {
         let kind = Kind::Run {
             endpoint: self.endpoint.clone(),
             attempt: offer.attempt,
         };
         self.recorder.record(Some(&offer.request), kind);
-        let (replies, mut answers) = mpsc::channel(WAITING);
+        let outlet = self.outlets.open(&offer.request, offer.attempt);
         let (body, pieces) = mpsc::channel(WAITING);
-        let key = offer.key.clone();
         let run = Run {
             engine: self.engine.clone(),
             offer,
             deadline,
-            replies,
-            keep: key.is_some(),
+            metrics: self.metrics.clone(),
+            outlet: outlet.clone(),
+            keep: hold.is_some(),
         };
         self.metrics.runs.inc();
         self.metrics.running.inc();
-        let upload = tokio::spawn(upload(receiver, body));
-        let server = self.clone();
+        let left = tokio::spawn(upload(receiver, body));
+        let metrics = self.metrics.clone();
         let running = self.shutdown.in_flight().spawn(async move {
-            let answer = run.run(pieces, slot).await.map(Arc::new);
-            if let (Some(key), Ok(mut ledger)) = (key, server.ledger.lock()) {
-                ledger.finish(&key, answer, Instant::now());
+            let ended = run.run(pieces, slot).await;
+            if let Some(hold) = hold {
+                hold.finish(ended);
             }
-            server.metrics.running.dec();
+            metrics.running.dec();
         });
-        let cancel = async {
-            if upload.await.unwrap_or(true) {
-                return;
+        self.answer(sender, outlet, 0, left).await;
+        let _ = running.await;
+    }
+
+    /// Sends an answer from `offset` on; forgets it unless another reader takes over.
+    async fn answer(
+        &self,
+        mut sender: Sender<Reply>,
+        outlet: Arc<Outlet>,
+        offset: u64,
+        left: JoinHandle<Read>,
+    ) {
+        let cursor = outlet.attach(offset);
+        let gone = async {
+            let read = left.await.unwrap_or(Read::Lost);
+            if read == Read::Done {
+                std::future::pending::<()>().await;
             }
-            std::future::pending::<()>().await;
+            read
+        };
+        let read = tokio::select! {
+            read = outlet.read(&mut sender, cursor) => read,
+            read = gone => read,
         };
-        tokio::pin!(cancel);
-        loop {
-            let reply = tokio::select! {
-                reply = answers.recv() => reply,
-                () = &mut cancel => break,
-            };
-            let Some(reply) = reply else { break };
-            sender.send(&reply).await?;
+        let over = match read {
+            Read::Done | Read::Left => true,
+            Read::Lost => !outlet.regained(cursor).await,
+            Read::Replaced => false,
+        };
+        if over {
+            self.outlets.close(&outlet);
         }
-        drop(answers);
-        sender.finish();
-        let _ = running.await;
-        Ok(())
+    }
+}
+
+/// Waits for the entry to start a reserved run.
+async fn await_go(
+    hold: &mut Hold,
+    receiver: &mut Receiver<Frame>,
+) -> io::Result<Result<(), Fault>> {
+    match receiver.receive().await? {
+        Some(Frame::Go { token }) => Ok(hold.start(token)),
+        _ => Err(io::Error::other("the entry withdrew the attempt")),
     }
 }
 
@@ -254,26 +251,35 @@
     }
 }
 
-/// Passes the request body on; returns whether the entry left.
-async fn upload(mut receiver: Receiver<Frame>, body: mpsc::Sender<io::Result<Bytes>>) -> bool {
+/// Passes the request body on; returns how the entry's side of the stream ended.
+async fn upload(mut receiver: Receiver<Frame>, body: mpsc::Sender<io::Result<Bytes>>) -> Read {
     let mut length = 0;
     loop {
-        match receiver.receive().await {
+        let read = match receiver.receive().await {
             Ok(Some(Frame::Body { data })) => {
                 length += data.len() as u64;
                 let _ = body.send(Ok(data)).await;
+                continue;
             }
             Ok(Some(Frame::End { length: announced })) if announced == length => break,
-            _ => {
-                let _ = body
-                    .send(Err(io::Error::other("the request body is cut")))
-                    .await;
-                return true;
-            }
-        }
+            Ok(_) => Read::Left,
+            Err(e) => outlet::ended(&e),
+        };
+        let cut = io::Error::other("the request body is cut");
+        let _ = body.send(Err(cut)).await;
+        return read;
     }
     drop(body);
-    !matches!(receiver.receive().await, Ok(None))
+    leaves(receiver).await
+}
+
+/// Waits for the end of the entry's side of the stream after the request body.
+async fn leaves(mut receiver: Receiver<Frame>) -> Read {
+    match receiver.receive().await {
+        Ok(None) => Read::Done,
+        Ok(Some(_)) => Read::Left,
+        Err(e) => outlet::ended(&e),
+    }
 }
 
 /// Sends a stored answer again, under the ids of the attempt that asked.
@@ -305,7 +311,6 @@
             seal: check.seal(),
         })
         .await?;
-    sender.finish();
-    let _ = time::timeout(time::Duration::from_secs(1), sender.stopped()).await;
+    outlet::flush(sender).await;
     Ok(())
 }
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -1,19 +1,19 @@
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use anyhow::Context as _;
 use conf::Settings;
 use event::Recorder;
 use gate::Event;
 use node::{Callee, Follow, Operator, Own, Ready, Shutdown, Watch};
-use once::Ledger;
+use once::Records;
 use prometheus::Registry;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 use wire::{Listener, Member, Role, Tls};
 
-use crate::{admit::Gatekeeper, engine::Engine, health, metrics::Metrics, serve::Server};
-
-/// Run records that are kept until the configuration says how many.
-const RECORDS: usize = 10_000;
+use crate::{
+    admit::Gatekeeper, engine::Engine, health, metrics::Metrics, outlet::Outlets, record::Book,
+    serve::Server,
+};
 
 /// Runs an agent until it is told to shut down and all in flight has ended.
 ///
@@ -57,14 +57,17 @@
     };
     let own = Own::new(member, follow.clone(), recorder.clone()).load(load);
     let engine = Engine::new(address);
-    let ledger: Box<dyn Ledger> = Box::new(once::Plain::new(RECORDS));
+    let metrics = Metrics::register(&registry)?;
+    let ledger = Records::new(endpoint.clone(), incarnation, Instant::now());
+    let book = Book::new(Box::new(ledger), metrics.clone());
     let server = Server {
         endpoint,
         gatekeeper: gatekeeper.clone(),
-        ledger: Arc::new(Mutex::new(ledger)),
+        book: book.clone(),
+        outlets: Outlets::default(),
         engine: engine.clone(),
         recorder: recorder.clone(),
-        metrics: Metrics::register(&registry)?,
+        metrics,
         shutdown: shutdown.clone(),
     };
     let callee = Arc::new(Callee::new(
@@ -86,7 +89,7 @@
         parts,
     );
     tokio::spawn(follow.clone().run(settings.platform));
-    tokio::spawn(adopt(follow.watch(), gatekeeper.clone()));
+    tokio::spawn(adopt(follow.watch(), book, gatekeeper.clone()));
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
     tokio::spawn(operator.run(operators));
@@ -104,10 +107,11 @@
 }
 
 /// Brings each new configuration into force.
-async fn adopt(mut watch: Watch, gatekeeper: Gatekeeper) {
+async fn adopt(mut watch: Watch, book: Book, gatekeeper: Gatekeeper) {
     loop {
         let current = watch.borrow_and_update().clone();
         if let Some(document) = current.document {
+            book.adopt(&document);
             gatekeeper.tell(Event::Document {
                 number: current.version.number,
                 document,
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,4 +1,4 @@
-use std::{io, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use conf::{Document, Route, id};
@@ -7,25 +7,25 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use node::{Follow, Links, Shutdown};
-use once::{Delivery, Piece};
 use route::{Action, Ask, Event};
 use smol_str::{SmolStr, format_smolstr};
-use tokio::{
-    sync::mpsc::Sender,
-    time::{self, Instant},
-};
-use wire::{Attempt, Frame, Header, Key, Offer};
+use tokio::time::{self, Instant};
+use wire::{Attempt, Header, Key, Offer};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    attempt::{Stream, Upload},
     authenticate::authenticate,
     choose::{Choice, Chooser},
     classify::classify,
     deliver::{self, Body},
-    idempotency,
+    fleet::Fleet,
+    idempotency::{self, Repeat},
+    issue,
     metrics::Metrics,
     offer::{self, Admitted},
     prefix::Prefix,
+    pump::{Pump, Started},
     refuse::refuse,
 };
 
@@ -48,6 +48,8 @@
 pub(crate) struct Context {
     pub(crate) follow: Follow,
     pub(crate) links: Links,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) zone: id::Zone,
     pub(crate) chooser: Chooser,
     pub(crate) recorder: Recorder,
     pub(crate) metrics: Metrics,
@@ -62,7 +64,11 @@
     team: id::Team,
     service: id::Service,
     route: Route,
-    key: Option<Key>,
+    repeat: Repeat,
+    /// Key under which the run may have been started.
+    sent: Option<SmolStr>,
+    /// Whether an earlier attempt may have been run.
+    may_have_run: bool,
     deadline: Instant,
     method: SmolStr,
     path: SmolStr,
@@ -79,16 +85,20 @@
     let metrics = context.metrics.clone();
     let recorder = context.recorder.clone();
     metrics.arrived();
-    let result = match Call::accept(context, id.clone(), request).await {
-        Ok(call) => call.run().await,
-        Err(fault) => Err(fault),
+    let result = if issue::asks(&request) {
+        issue::issue(&context, request).await.map_err(Refusal::from)
+    } else {
+        match Call::accept(context, id.clone(), request).await {
+            Ok(call) => call.run().await,
+            Err(fault) => Err(fault.into()),
+        }
     };
     match result {
         Ok(response) => {
             metrics.first_byte.observe(started.elapsed().as_secs_f64());
             response
         }
-        Err(fault) => {
+        Err(Refusal { fault, key }) => {
             metrics.refused(&fault);
             recorder.record(
                 Some(&id),
@@ -96,7 +106,9 @@
                     kind: fault.kind().name().into(),
                 },
             );
-            refuse(&fault, &id)
+            let mut response = refuse(&fault, &id);
+            deliver::name_key(&mut response, key.as_ref());
+            response
         }
     }
 }
@@ -116,7 +128,7 @@
         let (parts, body) = request.into_parts();
         let team = authenticate(&document, &parts.headers)?;
         let (service, route) = classify(&document, &parts.method, &parts.uri)?;
-        let key = idempotency::key(&route, &team, &parts.headers)?;
+        let repeat = Repeat::read(&route, &service, &document, &team, &parts.headers)?;
         let deadline = Instant::now() + document.policy.deadline;
         let prefix = Prefix::read(body, document.policy.body_limit).await?;
         context.recorder.record(
@@ -142,27 +154,34 @@
             team,
             service,
             route,
-            key,
+            sent: repeat.text().cloned(),
+            repeat,
+            may_have_run: false,
             deadline,
         })
     }
 
     /// Offers the request until an attempt answers or the policy gives up.
-    async fn run(mut self) -> Result<Response<Body>, Fault> {
+    async fn run(mut self) -> Result<Response<Body>, Refusal> {
         let mut choice = self.context.chooser.begin(self.ask());
         loop {
-            let action = choice.next().await.ok_or(Fault::new(ErrorKind::Internal))?;
+            let Some(action) = choice.next().await else {
+                return Err(self.refusal(ErrorKind::Internal.into()));
+            };
             match action {
-                Action::GiveUp { fault, .. } => return Err(fault),
+                Action::GiveUp { fault, .. } => return Err(self.refusal(fault)),
                 Action::Abandon { .. } => {}
+                Action::Offer { .. } if self.may_have_run && !self.route.repeatable => {
+                    return Err(self.refusal(ErrorKind::Interrupted.into()));
+                }
                 Action::Offer {
                     attempt, endpoint, ..
                 } => {
                     let Some(admitted) = self.offer(&choice, attempt, &endpoint).await else {
                         continue;
                     };
-                    match self.start(admitted, attempt).await {
-                        Ok(started) => return self.deliver(started, choice),
+                    match self.start(admitted, &endpoint).await {
+                        Ok(started) => return Ok(self.deliver(started, choice)),
                         Err(fault) => self.broken(&choice, attempt, fault),
                     }
                 }
@@ -177,7 +196,7 @@
             service: self.service.clone(),
             priority: self.route.priority,
             repeatable: self.route.repeatable,
-            owner: None,
+            owner: self.repeat.owner().cloned(),
             prefix: self.hashes.clone(),
             deadline: self.deadline,
         }
@@ -185,7 +204,7 @@
 
     /// Makes one offer and tells the policy how it went.
     async fn offer(
-        &self,
+        &mut self,
         choice: &Choice,
         attempt: Attempt,
         endpoint: &id::Endpoint,
@@ -197,33 +216,23 @@
         self.context.recorder.record(Some(&self.request), kind);
         let link = offer::agent(&self.document, endpoint)
             .and_then(|address| self.context.links.get(address));
-        let result = match link {
-            Some(link) => {
-                offer::offer(
-                    &link,
-                    self.message(attempt),
-                    self.document.policy.queue_time,
-                )
-                .await
+        let result = match (link, self.key(endpoint)) {
+            (Some(link), Ok(key)) => {
+                let queue_time = self.document.policy.queue_time;
+                offer::offer(&link, self.message(attempt, key), queue_time).await
             }
-            None => Err(Fault::new(ErrorKind::NoEndpoint).into()),
+            _ => Err(Fault::new(ErrorKind::NoEndpoint).into()),
         };
-        let request = self.request.clone();
         let (event, hint, admitted) = match result {
-            Ok(admitted) => (
-                Event::Admitted { request, attempt },
-                Some(admitted.hint),
-                Some(admitted),
-            ),
-            Err(refused) => (
-                Event::Refused {
-                    request,
-                    attempt,
-                    fault: refused.fault,
-                },
-                refused.hint,
-                None,
-            ),
+            Ok(admitted) => {
+                let request = self.request.clone();
+                (
+                    Event::Admitted { request, attempt },
+                    Some(admitted.hint),
+                    Some(admitted),
+                )
+            }
+            Err(refused) => (self.refused(attempt, refused.fault), refused.hint, None),
         };
         if let Some(hint) = hint {
             choice.tell(Event::Hint {
@@ -235,14 +244,58 @@
         admitted
     }
 
-    fn message(&self, attempt: Attempt) -> Offer {
+    /// Says what a refused offer means for the request.
+    fn refused(&mut self, attempt: Attempt, fault: Fault) -> Event {
+        let request = self.request.clone();
+        let fresh = matches!(self.repeat, Repeat::Fresh);
+        if fresh && fault.kind() == ErrorKind::OwnerLost {
+            // The key was made for this offer, so that no life of any agent can have run it.
+            let fault = Fault::new(ErrorKind::NoEndpoint);
+            return Event::Refused {
+                request,
+                attempt,
+                fault,
+            };
+        }
+        if fault.run() == Run::Unknown && self.route.repeatable {
+            self.may_have_run = true;
+            return Event::Broken {
+                request,
+                attempt,
+                fault,
+                replayable: true,
+            };
+        }
+        Event::Refused {
+            request,
+            attempt,
+            fault,
+        }
+    }
+
+    /// Returns the key of an offer to an endpoint; `None` if the request may be repeated.
+    fn key(&self, endpoint: &id::Endpoint) -> Result<Option<Key>, Fault> {
+        match &self.repeat {
+            Repeat::Allowed => Ok(None),
+            Repeat::Once { key, .. } => Ok(Some(key.clone())),
+            Repeat::Fresh => {
+                let known = self.context.fleet.incarnation(endpoint);
+                let incarnation = known.ok_or(ErrorKind::NoEndpoint)?;
+                let horizon = self.document.policy.retry_horizon;
+                let key = idempotency::issue(&self.team, endpoint, incarnation, horizon);
+                Ok(Some(key))
+            }
+        }
+    }
+
+    fn message(&self, attempt: Attempt, key: Option<Key>) -> Offer {
         Offer {
             request: self.request.clone(),
             attempt,
             service: self.service.clone(),
             team: self.team.clone(),
             priority: self.route.priority,
-            key: self.key.clone(),
+            key,
             fingerprint: self.fingerprint(),
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             version: self.context.follow.current().version.number,
@@ -268,43 +321,29 @@
     }
 
     /// Starts an admitted attempt and waits for the head of its answer.
-    async fn start(&mut self, admitted: Admitted, attempt: Attempt) -> Result<Started, Fault> {
-        let Admitted {
-            mut sender,
-            mut receiver,
-            token,
-            ..
-        } = admitted;
-        if let Some(token) = token {
-            sender
-                .send(&Frame::Go { token })
-                .await
-                .map_err(|_| ErrorKind::Interrupted)?;
-        }
-        let limit = self.document.policy.body_limit;
-        let mut delivery = Delivery::new(self.request.clone(), attempt);
-        let (first, rest) = (self.first.clone(), self.rest.take());
-        let upload = tokio::spawn(async move {
-            let sent = offer::send_body(&mut sender, first, rest, limit).await;
-            if sent.is_err() {
-                sender.reset();
-            }
-            sender
-        });
-        let read = deliver::head(&mut receiver, &mut delivery);
-        let head = time::timeout_at(self.deadline, read)
+    async fn start(
+        &mut self,
+        admitted: Admitted,
+        endpoint: &id::Endpoint,
+    ) -> Result<Started, Fault> {
+        let agent =
+            offer::agent(&self.document, endpoint).ok_or(Fault::new(ErrorKind::NoEndpoint))?;
+        self.sent.clone_from(&admitted.key);
+        let upload = Upload {
+            first: self.first.clone(),
+            rest: self.rest.take(),
+            limit: self.document.policy.body_limit,
+        };
+        let links = self.context.links.clone();
+        let mut stream = Stream::start(links, agent, admitted, upload, self.deadline).await?;
+        let head = time::timeout_at(self.deadline, stream.head())
             .await
             .map_err(|_| ErrorKind::DeadlineRunning)??;
-        Ok(Started {
-            head,
-            upload,
-            receiver,
-            delivery,
-            attempt,
-        })
+        Ok(Started { head, stream })
     }
 
-    fn broken(&self, choice: &Choice, attempt: Attempt, fault: Fault) {
+    fn broken(&mut self, choice: &Choice, attempt: Attempt, fault: Fault) {
+        self.may_have_run |= fault.run() == Run::Unknown;
         let replayable = self.rest.is_none() && fault.run() == Run::Unknown;
         choice.tell(Event::Broken {
             request: self.request.clone(),
@@ -314,102 +353,50 @@
         });
     }
 
-    /// Answers the caller and passes the rest of the body on in a task of its own.
-    fn deliver(self, started: Started, choice: Choice) -> Result<Response<Body>, Fault> {
-        let (response, sender) = deliver::respond(&started.head, &self.request);
-        let tracker = self.context.shutdown.in_flight().clone();
-        tracker.spawn(self.pump(started, choice, sender));
-        Ok(response)
-    }
-
-    async fn pump(self, mut started: Started, choice: Choice, sender: Sender<io::Result<Bytes>>) {
-        self.context.metrics.in_flight.inc();
-        let end = self.pump_pieces(&mut started, &choice, &sender).await;
-        match end {
-            End::Whole => {
-                let kind = Kind::Answer {
-                    status: started.head.status,
-                    length: started.delivery.length(),
-                };
-                self.context.recorder.record(Some(&self.request), kind);
-            }
-            End::Cut(fault) => {
-                self.context.metrics.refused(&fault);
-                self.context.recorder.record(
-                    Some(&self.request),
-                    Kind::Refusal {
-                        kind: fault.kind().name().into(),
-                    },
-                );
-                let _ = sender.send(Err(io::Error::other(fault))).await;
-            }
-            End::CallerGone => self.cancel(started.upload).await,
-        }
-        self.context
-            .metrics
-            .strays
-            .inc_by(started.delivery.strays());
-        self.context.metrics.in_flight.dec();
-    }
-
-    async fn pump_pieces(
-        &self,
-        started: &mut Started,
-        choice: &Choice,
-        sender: &Sender<io::Result<Bytes>>,
-    ) -> End {
-        loop {
-            let read = deliver::next(&mut started.receiver, &mut started.delivery);
-            let piece = tokio::select! {
-                piece = time::timeout_at(self.deadline, read) => piece,
-                () = sender.closed() => return End::CallerGone,
-            };
-            match piece {
-                Ok(Ok(Piece::Data(data))) => {
-                    choice.tell(Event::Progress {
-                        request: self.request.clone(),
-                        attempt: started.attempt,
-                    });
-                    if sender.send(Ok(data)).await.is_err() {
-                        return End::CallerGone;
-                    }
-                }
-                Ok(Ok(Piece::End)) => return End::Whole,
-                Ok(Ok(Piece::Head(_) | Piece::Nothing)) => {}
-                Ok(Err(fault)) => return End::Cut(fault),
-                Err(_) => return End::Cut(ErrorKind::DeadlineRunning.into()),
-            }
-        }
+    /// Makes the final refusal; it says `run: no` only if no attempt can have been run.
+    fn refusal(&self, fault: Fault) -> Refusal {
+        let fault = if self.may_have_run {
+            fault.run_unknown()
+        } else {
+            fault
+        };
+        let key = self.sent.clone();
+        Refusal { fault, key }
     }
 
-    /// Frees the slot at the engine, unless the run may not be repeated: that one goes on, so that
-    /// its answer is there when the caller asks again.
-    async fn cancel(&self, upload: tokio::task::JoinHandle<wire::Sender<Frame>>) {
-        if self.route.repeatable
-            && let Ok(mut sender) = upload.await
-        {
-            let _ = sender.send(&Frame::Cancel).await;
-        }
+    /// Answers the caller and passes the rest of the body on in a task of its own.
+    fn deliver(self, started: Started, choice: Choice) -> Response<Body> {
+        let (mut response, sender) = deliver::respond(&started.head, &self.request);
+        deliver::name_key(&mut response, self.sent.as_ref());
+        let pump = Pump {
+            metrics: self.context.metrics,
+            recorder: self.context.recorder,
+            request: self.request,
+            repeatable: self.route.repeatable,
+            deadline: self.deadline,
+        };
+        let tracker = self.context.shutdown.in_flight();
+        tracker.spawn(pump.run(started, choice, sender));
+        response
     }
 }
 
 /// Time after which callers come back to an entry without a configuration.
 const NOT_READY: Duration = Duration::from_secs(1);
+/// Time after which callers come back if no endpoint can be reached.
+pub(crate) const COME_BACK: Duration = Duration::from_secs(1);
 
-/// Attempt whose answer has begun.
-struct Started {
-    head: wire::Head,
-    upload: tokio::task::JoinHandle<wire::Sender<Frame>>,
-    receiver: wire::Receiver<wire::Reply>,
-    delivery: Delivery,
-    attempt: Attempt,
+/// Final refusal of a request.
+struct Refusal {
+    fault: Fault,
+    /// Key under which the caller may ask again.
+    key: Option<SmolStr>,
 }
 
-/// How the body of an answer ended.
-enum End {
-    Whole,
-    Cut(Fault),
-    CallerGone,
+impl From<Fault> for Refusal {
+    fn from(fault: Fault) -> Self {
+        Self { fault, key: None }
+    }
 }
 
 fn headers(map: &http::HeaderMap) -> Vec<Header> {
--- a/crates/entry/src/deliver.rs
+++ b/crates/entry/src/deliver.rs
@@ -1,13 +1,14 @@
 use std::io;
 
 use bytes::Bytes;
-use fault::{ErrorKind, Fault};
 use http::{HeaderName, HeaderValue, Response};
 use http_body_util::{BodyExt as _, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::Frame;
-use once::{Delivery, Piece};
+use smol_str::SmolStr;
 use tokio::sync::mpsc::{self, Receiver, Sender};
-use wire::{Head, Reply};
+use wire::Head;
+
+use crate::idempotency;
 
 /// Body of an answer; it ends with an error if the answer is cut, so that no client takes it for whole.
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -15,39 +16,6 @@
 /// Pieces of an answer that wait for the caller to read them.
 const WAITING: usize = 4;
 
-/// Reads the head of an answer.
-///
-/// # Errors
-///
-/// Returns a fault if the answer ends or breaks before its head.
-pub(crate) async fn head(
-    receiver: &mut wire::Receiver<Reply>,
-    delivery: &mut Delivery,
-) -> Result<Head, Fault> {
-    loop {
-        match next(receiver, delivery).await? {
-            Piece::Head(head) => return Ok(head),
-            Piece::Nothing => {}
-            Piece::Data(_) | Piece::End => return Err(ErrorKind::BadAnswer.into()),
-        }
-    }
-}
-
-/// Reads the next piece of an answer.
-///
-/// # Errors
-///
-/// Returns a fault if the answer ends early or breaks.
-pub(crate) async fn next(
-    receiver: &mut wire::Receiver<Reply>,
-    delivery: &mut Delivery,
-) -> Result<Piece, Fault> {
-    match receiver.receive().await {
-        Ok(Some(reply)) => delivery.accept(reply),
-        Ok(None) | Err(_) => Err(ErrorKind::Interrupted.into()),
-    }
-}
-
 /// Makes the response of which the body comes through the returned sender.
 pub(crate) fn respond(head: &Head, request: &str) -> (Response<Body>, Sender<io::Result<Bytes>>) {
     let (sender, receiver) = mpsc::channel(WAITING);
@@ -67,6 +35,14 @@
     (response, sender)
 }
 
+/// Tells the caller the key under which it may ask for the answer again.
+pub(crate) fn name_key(response: &mut Response<Body>, key: Option<&SmolStr>) {
+    let value = key.and_then(|key| HeaderValue::from_str(key).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(idempotency::HEADER, value);
+    }
+}
+
 fn body(receiver: Receiver<io::Result<Bytes>>) -> Body {
     let pieces = futures::stream::unfold(receiver, |mut receiver| async move {
         let piece = receiver.recv().await?;
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -59,6 +59,12 @@
             .unwrap_or_default()
     }
 
+    /// Returns the life of an endpoint's agent that was seen last.
+    pub(crate) fn incarnation(&self, endpoint: &id::Endpoint) -> Option<id::Incarnation> {
+        let hints = self.hints.lock().ok()?;
+        hints.get(endpoint).map(|hint| hint.incarnation)
+    }
+
     /// Marks a link and returns the endpoint and whether the mark changed.
     fn mark(&self, address: SocketAddr, up: bool) -> Option<(id::Endpoint, bool)> {
         let mut endpoints = self.endpoints.lock().ok()?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! A request passes through the stages authenticate, classify, choose, offer and deliver, each in
 //! a module of that name.
 
+mod attempt;
 mod authenticate;
 mod call;
 mod choose;
@@ -10,9 +11,11 @@
 mod deliver;
 mod fleet;
 mod idempotency;
+mod issue;
 mod metrics;
 mod offer;
 mod prefix;
+mod pump;
 mod refuse;
 mod run;
 mod server;
--- a/crates/entry/src/offer.rs
+++ b/crates/entry/src/offer.rs
@@ -5,8 +5,11 @@
 use fault::{ErrorKind, Fault};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use tokio::time;
-use wire::{CHUNK, Frame, Hint, Link, Offer, Receiver, Reply, Sender, Token, Verdict};
+use wire::{
+    Attempt, CHUNK, Frame, Hint, Link, Offer, Receiver, Reply, Request, Sender, Token, Verdict,
+};
 
 /// Time in which an agent must answer an offer, beyond the time that work may queue.
 const ANSWER: Duration = Duration::from_secs(2);
@@ -21,6 +24,12 @@
     pub(crate) token: Option<Token>,
     /// Load of the endpoint.
     pub(crate) hint: Hint,
+    /// Id of the request.
+    pub(crate) request: Request,
+    /// Number of the attempt.
+    pub(crate) attempt: Attempt,
+    /// Idempotency key of the attempt, if it may not be repeated.
+    pub(crate) key: Option<SmolStr>,
 }
 
 /// Why an offer was not admitted.
@@ -39,9 +48,8 @@
 
 /// Offers an attempt to the agent at the other end of a link.
 ///
-/// Without an answer the attempt may have been admitted, but it was not run if it needs a
-/// [`Frame::Go`], and an attempt without one is only made for requests that may be repeated; its
-/// stream is dropped here, which withdraws it.
+/// Without an answer an attempt with a key was not run, because it starts only with a
+/// [`Frame::Go`]; its stream is dropped here, which withdraws it. One without a key may have been.
 pub(crate) async fn offer(
     link: &Link,
     offer: Offer,
@@ -49,26 +57,35 @@
 ) -> Result<Admitted, Refused> {
     let lost = |_: io::Error| Refused::from(Fault::new(ErrorKind::NoEndpoint));
     let (mut sender, mut receiver) = link.work().await.map_err(lost)?;
+    let (request, attempt) = (offer.request.clone(), offer.attempt);
+    let key = offer.key.as_ref().map(|key| key.text.clone());
+    let unanswered = || {
+        let fault = Fault::new(ErrorKind::NoEndpoint);
+        Refused::from(match key {
+            Some(_) => fault,
+            None => fault.run_unknown(),
+        })
+    };
     sender
         .send(&Frame::Offer(Box::new(offer)))
         .await
-        .map_err(lost)?;
+        .map_err(|_| unanswered())?;
     let answer = time::timeout(ANSWER + queue_time, receiver.receive()).await;
-    let reply = answer
-        .map_err(|_| Fault::new(ErrorKind::NoEndpoint))?
-        .map_err(lost)?;
-    match reply {
-        Some(Reply::Verdict(Verdict::Admitted { token, hint })) => Ok(Admitted {
+    match answer {
+        Ok(Ok(Some(Reply::Verdict(Verdict::Admitted { token, hint })))) => Ok(Admitted {
             sender,
             receiver,
             token,
             hint,
+            request,
+            attempt,
+            key,
         }),
-        Some(Reply::Verdict(Verdict::Refused { fault, hint })) => Err(Refused {
+        Ok(Ok(Some(Reply::Verdict(Verdict::Refused { fault, hint })))) => Err(Refused {
             fault,
             hint: Some(hint),
         }),
-        Some(_) | None => Err(Fault::new(ErrorKind::NoEndpoint).into()),
+        _ => Err(unanswered()),
     }
 }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,7 +3,7 @@
 use anyhow::Context as _;
 use conf::Settings;
 use event::Recorder;
-use node::{Callee, Follow, Links, Operator, Own, Ready, Watch};
+use node::{Callee, Follow, Links, Operator, Own, Ready, Shutdown, Watch};
 use peer::Members;
 use prometheus::Registry;
 use route::{Event, Plain};
@@ -64,6 +64,8 @@
     let context = Context {
         follow: follow.clone(),
         links: links.clone(),
+        fleet: fleet.clone(),
+        zone: settings.zone.clone(),
         chooser: chooser.clone(),
         recorder: recorder.clone(),
         metrics: Metrics::register(&registry)?,
@@ -93,12 +95,18 @@
     tokio::spawn(node::serve(listener, callee, None));
     tokio::spawn(operator.run(operators));
     ready.print();
+    tokio::spawn(leave(shutdown.clone(), own));
     server::serve(callers, context).await;
-    own.leave();
     shutdown.drained().await;
     Ok(())
 }
 
+/// Tells the peers as soon as the process shuts down.
+async fn leave(shutdown: Shutdown, own: Own) {
+    shutdown.draining().await;
+    own.leave();
+}
+
 /// Brings each new configuration into force.
 async fn adopt(mut watch: Watch, links: Links, fleet: Arc<Fleet>, chooser: Chooser) {
     loop {
--- a/crates/fake/src/caller.rs
+++ b/crates/fake/src/caller.rs
@@ -94,6 +94,34 @@
         })
     }
 
+    /// Asks an entry for an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer or no key in it.
+    pub async fn key(&self, entry: SocketAddr) -> anyhow::Result<String> {
+        let answer = self.send("POST", entry, "/v1/keys", &[], "").await?;
+        let key = answer.json()["key"].as_str().map(str::to_owned);
+        key.ok_or_else(|| anyhow::anyhow!("no key: {answer:?}"))
+    }
+
+    /// Sends an order under an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer at all.
+    pub async fn order(
+        &self,
+        entry: SocketAddr,
+        key: &str,
+        path: &str,
+        body: &str,
+    ) -> anyhow::Result<Answer> {
+        let headers = [("idempotency-key", key)];
+        self.send("POST", entry, path, &headers, body.to_owned())
+            .await
+    }
+
     /// Asks for a draft.
     ///
     /// # Errors
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -1,12 +1,16 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use conf::Document;
 use fault::Fault;
 use tokio::time::Instant;
 use wire::{Attempt, Fingerprint, Head, Key, Request, Token};
 
 /// Keeps the record of each run that may not be repeated.
 pub trait Ledger: Send {
+    /// Takes in the configuration, which sets the bounds and the owners of callers' own keys.
+    fn adopt(&mut self, document: &Document, now: Instant);
+
     /// Makes or renews the reservation of a key.
     fn reserve(&mut self, reserve: Reserve, now: Instant) -> Reserved;
 
@@ -24,6 +28,12 @@
 
     /// Records how a started run ended; `None` if its outcome cannot be known.
     fn finish(&mut self, key: &Key, answer: Option<Arc<Answer>>, now: Instant);
+
+    /// Records that a started run never reached the endpoint; the key may be used again.
+    fn revoke(&mut self, key: &Key, now: Instant);
+
+    /// Returns what is kept.
+    fn usage(&self) -> Usage;
 }
 
 /// Asks for a reservation.
@@ -37,6 +47,17 @@
     pub attempt: Attempt,
     /// Hash of the request, which must be the same for each use of the key.
     pub fingerprint: Fingerprint,
+    /// Time after which the run may not start any more.
+    pub deadline: Instant,
+}
+
+/// What a ledger keeps.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Records.
+    pub records: usize,
+    /// Bytes of stored answers.
+    pub bytes: u64,
 }
 
 /// Answers a request for a reservation.
@@ -51,7 +72,7 @@
 }
 
 /// Whole answer of a finished run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Answer {
     /// Head, as it was first sent.
     pub head: Head,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,7 +9,7 @@
 pub const CHUNK: usize = 16 * 1024;
 
 /// One HTTP header.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Header {
     /// Name in lower case.
     pub name: SmolStr,
@@ -85,7 +85,7 @@
 }
 
 /// Head of an answer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Head {
     /// Id of the request.
     pub request: Request,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,7 +16,7 @@
 pub use control::{Beat, Callee, Control, ControlClient, Hint, Member, Role};
 pub use frame::{CHUNK, Frame, Head, Header, Reply, Seal};
 pub use link::{Link, Listener, Purpose, Streams};
-pub use offer::{Attempt, Fingerprint, Key, Offer, Request, Token, Verdict};
+pub use offer::{Attempt, Fingerprint, Key, Offer, Owner, Request, Token, Verdict};
 pub use order::{Map, Order, Report, Step};
 pub use stream::{Receiver, Sender};
 pub use tls::Tls;
--- a/crates/wire/src/offer.rs
+++ b/crates/wire/src/offer.rs
@@ -25,8 +25,17 @@
     pub team: id::Team,
     /// The key itself.
     pub text: SmolStr,
-    /// Incarnation of the agent that owns the key, if the key carries it.
-    pub owner: Option<id::Incarnation>,
+    /// Life of the agent that owns the key, if the key carries it.
+    pub owner: Option<Owner>,
+}
+
+/// Binds an issued key to one life of one agent, and to a time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Owner {
+    /// Incarnation of the agent.
+    pub incarnation: id::Incarnation,
+    /// Time after which the key is no longer taken, in seconds since 1970.
+    pub expires: u64,
 }
 
 /// Offers one attempt at a request to an agent.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -44,9 +44,10 @@
         let _ = self.inner.get_mut().finish();
     }
 
-    /// Waits until the other side has read all, or stopped reading.
-    pub async fn stopped(&mut self) {
-        let _ = self.inner.get_mut().stopped().await;
+    /// Waits until the other side has received all, or stopped reading; returns whether it did
+    /// before the link broke.
+    pub async fn stopped(&mut self) -> bool {
+        self.inner.get_mut().stopped().await.is_ok()
     }
 
     /// Breaks this direction off.
