--- a/crates/scene/src/agent.rs
+++ b/crates/scene/src/agent.rs
@@ -24,7 +24,7 @@
 /// Fake of an agent around the real admission policy and run records.
 pub(crate) struct Agent {
     gate: Box<dyn Policy>,
-    ledger: Box<dyn Ledger>,
+    pub(crate) ledger: Box<dyn Ledger>,
     held: BTreeMap<Target, Held>,
     seen: Option<u64>,
 }
@@ -143,7 +143,7 @@
         }
     }
 
-    fn agent(&mut self, name: &id::Process) -> &mut Agent {
+    pub(crate) fn agent(&mut self, name: &id::Process) -> &mut Agent {
         self.agents.get_mut(name).expect("the endpoint is declared")
     }
 
@@ -240,6 +240,7 @@
             request: target.0.clone(),
             attempt: target.1,
             fingerprint: held.offer.fingerprint,
+            deadline: now + held.offer.time_left,
         };
         let (request, attempt) = target.clone();
         match agent.ledger.reserve(reserve, now) {
--- a/crates/scene/src/parts.rs
+++ b/crates/scene/src/parts.rs
@@ -2,6 +2,7 @@
 use gate::Policy as Gate;
 use once::Ledger;
 use route::Policy as Route;
+use tokio::time::Instant;
 use wire::Key;
 
 /// Makes the decision code that a scenario drives.
@@ -13,8 +14,8 @@
     pub route: fn(&id::Zone, u64) -> Box<dyn Route>,
     /// Makes the admission policy of an endpoint.
     pub gate: fn(&id::Endpoint, id::Incarnation, u64) -> Box<dyn Gate>,
-    /// Makes the run records of an agent, for at most so many keys.
-    pub ledger: fn(id::Incarnation, usize) -> Box<dyn Ledger>,
+    /// Makes the run records of an agent that starts at an instant.
+    pub ledger: fn(&id::Endpoint, id::Incarnation, Instant) -> Box<dyn Ledger>,
     /// Names the endpoint that owns a key.
     pub owner: fn(&Document, &id::Service, &Key) -> Option<id::Endpoint>,
 }
@@ -26,8 +27,14 @@
             gate: |endpoint, incarnation, _| {
                 Box::new(gate::Plain::new(endpoint.clone(), incarnation))
             },
-            ledger: |_, records| Box::new(once::Plain::new(records)),
-            owner: |_, _, _| None,
+            ledger: |endpoint, life, born| {
+                Box::new(once::Records::new(endpoint.clone(), life, born))
+            },
+            owner: |document, service, key| {
+                let endpoints = document.endpoints.iter();
+                let same = endpoints.filter(|(_, e)| e.service == *service);
+                once::owner(same.map(|(name, _)| name), key).cloned()
+            },
         }
     }
 }
--- a/crates/scene/src/world.rs
+++ b/crates/scene/src/world.rs
@@ -283,9 +283,8 @@
             let policy = (self.parts.route)(&zone, seed);
             self.entries.insert(name.clone(), Entry::new(policy));
         } else {
-            let records = self.document.policy.records as usize;
             let gate = (self.parts.gate)(name, life, seed);
-            let ledger = (self.parts.ledger)(life, records);
+            let ledger = (self.parts.ledger)(name, life, self.instant());
             self.agents.insert(name.clone(), Agent::new(gate, ledger));
         }
         let first = Duration::from_micros(self.random.random_range(0..JITTER));
@@ -460,6 +459,8 @@
         if self.entries.contains_key(name) {
             self.tell_entry(name, route::Event::Document(document));
         } else {
+            let now = self.instant();
+            self.agent(name).ledger.adopt(&document, now);
             self.tell_agent(name, gate::Event::Document { number, document });
         }
     }
