--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -96,6 +96,9 @@
             if e.is_connect() {
                 return Fault::new(ErrorKind::NoEndpoint).retry_after(COME_BACK);
             }
+            if cut_by_caller(&e) {
+                return Fault::new(ErrorKind::Malformed).run_unknown();
+            }
             Fault::new(ErrorKind::Interrupted)
         })?;
         check(offer, &response)?;
@@ -132,6 +135,12 @@
     Ok(())
 }
 
+/// Returns whether the request's own body ended early; that says nothing about the engine.
+fn cut_by_caller(e: &hyper_util::client::legacy::Error) -> bool {
+    let source = std::error::Error::source(e).and_then(|e| e.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_user)
+}
+
 fn attempt_id(offer: &Offer) -> smol_str::SmolStr {
     format_smolstr!("{}.{}", offer.request, offer.attempt)
 }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -67,7 +67,7 @@
                 answer.map_or(Ended::Gone, Ended::Kept)
             }
             Err(fault) => {
-                slot.finish(Outcome::Broken);
+                slot.finish(outcome(&fault));
                 if fault.kind() == ErrorKind::BadAnswer {
                     self.metrics.strays.inc();
                 }
@@ -92,7 +92,11 @@
         slot: &Slot,
     ) -> Result<(Seal, Option<Answer>), Fault> {
         let response = self.engine.send(&self.offer, body).await?;
-        slot.first();
+        if response.status().is_server_error() {
+            slot.fail();
+        } else {
+            slot.first();
+        }
         let head = self.head(&response);
         self.outlet.begin(head.clone());
         let (seal, body) = self.body(response.into_body()).await?;
@@ -149,3 +153,12 @@
         }
     }
 }
+
+/// Says what a failed run tells about the engine: only a broken connection is a sign of a restart.
+fn outcome(fault: &Fault) -> Outcome {
+    match fault.kind() {
+        ErrorKind::Interrupted => Outcome::Broken,
+        ErrorKind::DeadlineRunning | ErrorKind::Malformed => Outcome::Cancelled,
+        _ => Outcome::Failed,
+    }
+}
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -43,7 +43,10 @@
     let shutdown = node::shutdown()?;
     let registry = Registry::new();
     let incarnation = node::incarnation();
-    let gatekeeper = Gatekeeper::new(Box::new(gate::Plain::new(endpoint.clone(), incarnation)));
+    let gatekeeper = {
+        let policy = gate::Guard::new(endpoint.clone(), incarnation, Instant::now());
+        Gatekeeper::new(Box::new(policy), endpoint.clone(), recorder.clone())
+    };
     let member = Member {
         process: settings.name.clone(),
         incarnation,
@@ -58,7 +61,9 @@
     };
     follow.take_turns(&member);
     follow.register(&registry)?;
-    let own = Own::new(member, follow.clone(), recorder.clone()).load(load);
+    let own = Own::new(member, follow.clone(), recorder.clone())
+        .load(load)
+        .suspicions(Arc::new(gatekeeper.clone()));
     let engine = Engine::new(address);
     let metrics = Metrics::register(&registry)?;
     let ledger = Records::new(endpoint.clone(), incarnation, Instant::now());
@@ -70,7 +75,7 @@
         outlets: Outlets::default(),
         engine: engine.clone(),
         recorder: recorder.clone(),
-        metrics,
+        metrics: metrics.clone(),
         shutdown: shutdown.clone(),
     };
     let members = Arc::new(Members::default());
@@ -103,6 +108,7 @@
     tokio::spawn(overlay.run(tls, settings.heartbeat));
     tokio::spawn(adopt(follow.watch(), book, gatekeeper.clone()));
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
+    tokio::spawn(health::tick(gatekeeper.clone(), metrics));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
     tokio::spawn(operator.run(operators));
     ready.print();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -180,7 +180,11 @@
                     let Some(admitted) = self.offer(&choice, attempt, &endpoint).await else {
                         continue;
                     };
-                    match self.start(admitted, &endpoint).await {
+                    let started = tokio::select! {
+                        started = self.start(admitted, &endpoint) => started,
+                        () = choice.abandoned(attempt) => continue,
+                    };
+                    match started {
                         Ok(started) => return Ok(self.deliver(started, choice)),
                         Err(fault) => self.broken(&choice, attempt, fault),
                     }
@@ -198,6 +202,8 @@
             repeatable: self.route.repeatable,
             owner: self.repeat.owner().cloned(),
             prefix: self.hashes.clone(),
+            fingerprint: self.fingerprint(),
+            replayable: self.rest.is_none(),
             deadline: self.deadline,
         }
     }
--- a/crates/scene/src/entry.rs
+++ b/crates/scene/src/entry.rs
@@ -132,6 +132,8 @@
             repeatable: key.is_none(),
             owner,
             prefix: vec![fingerprint(&sent)],
+            fingerprint: fingerprint(&sent),
+            replayable: true,
             deadline,
         };
         let call = Call {
--- a/crates/scene/src/parts.rs
+++ b/crates/scene/src/parts.rs
@@ -11,9 +11,9 @@
 /// without the rule that it proves.
 pub struct Parts {
     /// Makes the routing policy of an entry in a zone.
-    pub route: fn(&id::Zone, u64) -> Box<dyn Route>,
+    pub route: fn(&id::Zone, u64, Instant) -> Box<dyn Route>,
     /// Makes the admission policy of an endpoint.
-    pub gate: fn(&id::Endpoint, id::Incarnation, u64) -> Box<dyn Gate>,
+    pub gate: fn(&id::Endpoint, id::Incarnation, Instant) -> Box<dyn Gate>,
     /// Makes the run records of an agent that starts at an instant.
     pub ledger: fn(&id::Endpoint, id::Incarnation, Instant) -> Box<dyn Ledger>,
     /// Names the endpoint that owns a key.
@@ -23,9 +23,9 @@
 impl Default for Parts {
     fn default() -> Self {
         Self {
-            route: |zone, _| Box::new(route::Plain::new(zone.clone())),
-            gate: |endpoint, incarnation, _| {
-                Box::new(gate::Plain::new(endpoint.clone(), incarnation))
+            route: |zone, seed, now| Box::new(route::Router::new(zone.clone(), seed, now)),
+            gate: |endpoint, incarnation, now| {
+                Box::new(gate::Guard::new(endpoint.clone(), incarnation, now))
             },
             ledger: |endpoint, life, born| {
                 Box::new(once::Records::new(endpoint.clone(), life, born))
--- a/crates/scene/src/world.rs
+++ b/crates/scene/src/world.rs
@@ -280,10 +280,10 @@
         self.processes.insert(name.clone(), process);
         let seed = self.random.random();
         if self.script.entries.contains_key(name) {
-            let policy = (self.parts.route)(&zone, seed);
+            let policy = (self.parts.route)(&zone, seed, self.instant());
             self.entries.insert(name.clone(), Entry::new(policy));
         } else {
-            let gate = (self.parts.gate)(name, life, seed);
+            let gate = (self.parts.gate)(name, life, self.instant());
             let ledger = (self.parts.ledger)(name, life, self.instant());
             self.agents.insert(name.clone(), Agent::new(gate, ledger));
         }
--- a/crates/scene/tests/suite/without_rule.rs
+++ b/crates/scene/tests/suite/without_rule.rs
@@ -95,7 +95,7 @@
 #[test]
 fn no_retries() {
     fail(&["process_dies", "zone_out_stale_entry"], || Parts {
-        route: |zone, seed| Box::new(Single((Parts::default().route)(zone, seed))),
+        route: |zone, seed, now| Box::new(Single((Parts::default().route)(zone, seed, now))),
         ..Parts::default()
     });
 }
