Drive the policies and run records of all parts from scenarios

Found: a key's second send was told 'run: no' by an entry that its owner never answered, although the first had run; the entry now says unknown unless the owner's word stands.

--- /dev/null
+++ b/crates/expert/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of expert maps.
+
+mod bad_input;
+mod good_plans;
+mod spec;
+mod switch_safety;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod latency;
+mod skew;
 mod slopes;
 
 use std::process::ExitCode;
@@ -17,11 +19,23 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[(
-    "slopes",
-    "What control costs for each link, team, endpoint, change, record, event and request",
-    slopes::measure,
-)];
+const MEASURES: &[Measure] = &[
+    (
+        "latency",
+        "latency added to calling the engine directly, memory and idle processor time",
+        latency::run,
+    ),
+    (
+        "skew",
+        "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
+        skew::measure,
+    ),
+    (
+        "slopes",
+        "What control costs for each link, team, endpoint, change, record, event and request",
+        slopes::measure,
+    ),
+];
 
 #[tokio::main]
 async fn main() -> ExitCode {
--- a/crates/measure/src/slopes/memory/ledger.rs
+++ b/crates/measure/src/slopes/memory/ledger.rs
@@ -1,20 +1,28 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use once::{Answer, Ledger, Plain, Reserve, Reserved};
+use once::{Answer, Ledger, Records, Reserve, Reserved};
 use smol_str::format_smolstr;
 use tokio::time::Instant;
-use wire::{Head, Key};
+use wire::{Head, Key, Owner};
+
+use super::document as sized;
 
 /// Returns run records that hold so many finished runs.
-pub(crate) fn filled(count: usize) -> anyhow::Result<Plain> {
-    let mut ledger = Plain::new(count);
+pub(crate) fn filled(count: usize) -> anyhow::Result<Records> {
     let now = Instant::now();
+    let incarnation = 1;
+    let mut ledger = Records::new("orders-a-0".into(), incarnation, now);
+    ledger.adopt(&document(count), now);
+    let owner = Owner {
+        incarnation,
+        expires: 300,
+    };
     for number in 0..count {
         let key = Key {
             team: "team-1".into(),
             text: format_smolstr!("caller-key-of-ordinary-length-{number}"),
-            owner: None,
+            owner: Some(owner),
         };
         let request = format_smolstr!("{number:032x}");
         let reserve = Reserve {
@@ -22,6 +30,7 @@
             request: request.clone(),
             attempt: 1,
             fingerprint: 7,
+            deadline: now + Duration::from_secs(60),
         };
         let Reserved::Token(token) = ledger.reserve(reserve, now) else {
             anyhow::bail!("key {number} was refused");
@@ -38,3 +47,10 @@
     }
     Ok(ledger)
 }
+
+/// Returns a document that allows so many records.
+fn document(records: usize) -> conf::Document {
+    let mut document = sized(1, 1);
+    document.policy.records = u32::try_from(records).unwrap_or(u32::MAX);
+    document
+}
--- a/crates/scene/src/grammar.rs
+++ b/crates/scene/src/grammar.rs
@@ -17,6 +17,13 @@
 pub(crate) fn act(input: &mut &str) -> Result<Act> {
     alt((
         send.map(Act::Send),
+        (key("key", name), option("of", name), option("via", name)).map(|(key, service, entry)| {
+            Act::Key {
+                key,
+                service,
+                entry,
+            }
+        }),
         alt((
             key("kill", name).map(Act::Kill),
             key("start", name).map(Act::Start),
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -1,13 +1,13 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use conf::{Number, Version, id};
+use conf::{Page, Position, Version, id};
 use event::{Event, Stamp};
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use serde_with::{DurationMicroSeconds, serde_as};
 use tarpc::context::Context;
 
-use crate::{Order, Report};
+use crate::{Fingerprint, Order, Report};
 
 /// Load of an endpoint, as its agent last saw it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,6 +51,19 @@
     pub leaving: bool,
 }
 
+/// Sign of life of a process that watches the platform, as others pass it on.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Pulse {
+    /// The watcher.
+    pub process: id::Process,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Number of its life.
+    pub incarnation: id::Incarnation,
+    /// Answers that the platform has given to this life.
+    pub count: u64,
+}
+
 /// Heartbeat, sent both ways on each link.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
@@ -62,8 +75,25 @@
     pub stamp: Stamp,
     /// Load of the sender's endpoint; agents only.
     pub hint: Option<Hint>,
-    /// Fingerprints of requests that are suspected of crashing endpoints.
-    pub suspects: Vec<u64>,
+    /// Requests that are suspected of crashing endpoints.
+    pub suspects: Vec<Suspect>,
+    /// Place in the published log that the sender has reached.
+    pub position: Position,
+    /// Watchers of the platform that the sender knows to be well.
+    pub watchers: Vec<Pulse>,
+}
+
+/// Says that a request ran at an endpoint when its engine crashed.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspect {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Number of the crash, unique in the fleet.
+    pub crash: u64,
+    /// Time for which the suspicion still holds.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub left: Duration,
 }
 
 /// Calls between processes.
@@ -71,8 +101,10 @@
 pub trait Control {
     /// Exchanges heartbeats.
     async fn beat(beat: Beat) -> Beat;
-    /// Returns the published records after a version, oldest first, as the platform gave them.
-    async fn records(after: Number) -> Vec<SmolStr>;
+    /// Returns what the callee knows of the published log after a place.
+    async fn records(after: Position) -> Option<Page>;
+    /// Hands over what the callee lacks of the published log; returns the place it reached.
+    async fn teach(page: Page) -> Position;
     /// Returns other processes that the callee knows.
     async fn members() -> Vec<Member>;
     /// Carries out an order of a group's leader.
@@ -85,8 +117,10 @@
 pub trait Callee: Send + Sync {
     /// Takes in a heartbeat and returns the own one.
     fn beat(&self, beat: Beat) -> Beat;
-    /// Returns the published records after a version, oldest first.
-    fn records(&self, after: Number) -> Vec<SmolStr>;
+    /// Returns what is known of the published log after a place.
+    fn records(&self, after: Position) -> Option<Page>;
+    /// Takes in a page of the published log; returns the place reached.
+    fn teach(&self, page: &Page) -> Position;
     /// Returns other processes that this one knows.
     fn members(&self) -> Vec<Member>;
     /// Carries out an order of a group's leader.
@@ -104,10 +138,14 @@
         self.0.beat(beat)
     }
 
-    async fn records(self, _: Context, after: Number) -> Vec<SmolStr> {
+    async fn records(self, _: Context, after: Position) -> Option<Page> {
         self.0.records(after)
     }
 
+    async fn teach(self, _: Context, page: Page) -> Position {
+        self.0.teach(&page)
+    }
+
     async fn members(self, _: Context) -> Vec<Member> {
         self.0.members()
     }
