--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod limits;
+mod metric_page;
 mod plain_path;
 mod refused_calls;
 mod secret_logs;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,6 +4,7 @@
 
 mod latency;
 mod skew;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -29,6 +30,11 @@
         "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
         skew::measure,
     ),
+    (
+        "slopes",
+        "What control costs for each link, team, endpoint, change, record, event and request",
+        slopes::measure,
+    ),
 ];
 
 #[tokio::main]
--- a/crates/scene/src/entry.rs
+++ b/crates/scene/src/entry.rs
@@ -3,59 +3,52 @@
     time::Duration,
 };
 
-use conf::id;
+use conf::{Document, id};
 use event::Kind;
 use fault::{ErrorKind, Fault, Run};
-use once::{Delivery, Piece};
+use once::{Delivery, Issue, Piece};
+use rand::RngExt as _;
 use route::{Action, Ask, Event, Policy};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, ToSmolStr as _};
 use tokio::time::Instant;
-use wire::{Attempt, Hint, Key, Reply, Request, Verdict};
+use wire::{Attempt, Hint, Key, Owner, Reply, Request, Suspect, Verdict};
 
 use crate::{
     agent::{self, Offer},
-    world::{Body, Due, End, Envelope, Epoch, Sent, State, Target, World},
+    link::Link,
+    world::{Body, Due, EPOCH, End, Envelope, Sent, State, Target, World},
 };
 
-/// Time in which a heartbeat must be answered.
-const ANSWER: Duration = Duration::from_secs(1);
 /// Time in which an offer must be answered, beyond the time that work may queue.
 const VERDICT: Duration = Duration::from_secs(2);
 
 /// Fake of an entry around the real routing policy.
 pub(crate) struct Entry {
-    policy: Box<dyn Policy>,
+    pub(crate) policy: Box<dyn Policy>,
     pub(crate) links: BTreeMap<id::Endpoint, Link>,
-    calls: BTreeMap<Request, Call>,
+    pub(crate) calls: BTreeMap<Request, Call>,
     pub(crate) leaving: bool,
 }
 
-/// Link to an agent.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Link {
-    pub(crate) epoch: Epoch,
-    life: id::Incarnation,
-    up: bool,
-    unanswered: Option<Duration>,
-}
-
-struct Call {
+pub(crate) struct Call {
     sent: Sent,
     key: Option<Key>,
     deadline: Instant,
     actions: VecDeque<Action>,
-    stage: Stage,
+    pub(crate) stage: Stage,
     may_have_run: bool,
+    /// What the agent that owns the caller's key said last.
+    owner_said: Option<ErrorKind>,
 }
 
-enum Stage {
+pub(crate) enum Stage {
     Idle,
     Offered(Attempt, id::Endpoint),
     Started(Attempt, id::Endpoint, Box<Delivery>, Option<String>),
 }
 
 impl Stage {
-    fn attempt(&self) -> Option<(Attempt, &id::Endpoint)> {
+    pub(crate) fn attempt(&self) -> Option<(Attempt, &id::Endpoint)> {
         match self {
             Stage::Idle => None,
             Stage::Offered(attempt, endpoint) | Stage::Started(attempt, endpoint, ..) => {
@@ -70,7 +63,12 @@
 pub(crate) enum Message {
     Beat {
         hint: Hint,
+        /// Place in the log from which the records go on.
+        position: usize,
+        /// Place that the agent has reached.
+        reached: usize,
         records: Vec<SmolStr>,
+        suspects: Vec<Suspect>,
     },
     /// Message on the stream of an attempt.
     Reply(Target, Reply),
@@ -115,21 +113,17 @@
             service: sent.service.clone(),
         };
         self.note(&name, Some(&request), kind);
-        let key = sent.key.as_ref().map(|text| Key {
-            team: sent.team.clone(),
-            text: text.clone(),
-            owner: None,
-        });
-        let owner = key
-            .as_ref()
-            .and_then(|key| (self.parts.owner)(&document, &sent.service, key));
+        let (key, owner) = self.own_key(&document, &sent);
+        if key.is_some() && owner.is_none() {
+            return self.refuse(&name, &request, ErrorKind::OwnerLost.into());
+        }
         let deadline = self.instant() + document.policy.deadline;
         let ask = Ask {
             request: request.clone(),
             team: sent.team.clone(),
             service: sent.service.clone(),
             priority: document.services[&sent.service].routes[0].priority,
-            repeatable: key.is_none(),
+            repeatable: sent.key.is_none(),
             owner,
             prefix: vec![fingerprint(&sent)],
             fingerprint: fingerprint(&sent),
@@ -143,6 +137,7 @@
             actions: VecDeque::new(),
             stage: Stage::Idle,
             may_have_run: false,
+            owner_said: None,
         };
         let life = self.processes[&name].life;
         let timer = Due::Entry(name.clone(), life, Timer::Deadline(request.clone()));
@@ -151,7 +146,63 @@
         self.tell_entry(&name, Event::Begin(ask));
     }
 
-    fn entry(&mut self, name: &id::Process) -> &mut Entry {
+    /// Returns the key that the caller sent, and the endpoint that owns it.
+    fn own_key(&self, document: &Document, sent: &Sent) -> (Option<Key>, Option<id::Endpoint>) {
+        let Some(text) = sent.key.as_ref().filter(|_| !sent.fresh) else {
+            return (None, None);
+        };
+        if let Some(issue) = self.issued.get(text) {
+            let endpoint = Some(issue.endpoint.clone());
+            return (Some(issued_key(&sent.team, issue)), endpoint);
+        }
+        let key = Key {
+            team: sent.team.clone(),
+            text: text.clone(),
+            owner: None,
+        };
+        let owner = (self.parts.owner)(document, &sent.service, &key);
+        (Some(key), owner)
+    }
+
+    /// Issues a key that one life of the agent beside an endpoint owns.
+    fn issue(&mut self, name: &id::Process, endpoint: &id::Endpoint) -> Option<Issue> {
+        let horizon = self.processes[name].fold.document()?.policy.retry_horizon;
+        let now = Duration::from_nanos(EPOCH) + self.now;
+        let nonce = self.random.random();
+        let incarnation = self.entry(name).links.get(endpoint)?.hint?.incarnation;
+        let owner = Owner {
+            incarnation,
+            expires: (now + horizon).as_secs(),
+        };
+        let endpoint = endpoint.clone();
+        Some(Issue {
+            endpoint,
+            owner,
+            nonce,
+        })
+    }
+
+    /// Issues a key at a caller's wish, for an endpoint that takes work, in the own zone if it can.
+    pub(crate) fn issue_named(&mut self, key: SmolStr, service: &id::Service, name: &id::Process) {
+        let zone = self.processes[name].zone.clone();
+        let Some(document) = self.processes[name].fold.document().cloned() else {
+            return;
+        };
+        let links = &self.entry(name).links;
+        let open = document.endpoints.iter().filter(|(endpoint, settings)| {
+            let link = links.get(*endpoint).filter(|link| link.up);
+            settings.service == *service && link.is_some_and(|l| l.hint.is_some_and(|h| h.open))
+        });
+        let near = open.min_by_key(|(_, settings)| settings.zone != zone);
+        let Some(endpoint) = near.map(|(endpoint, _)| endpoint.clone()) else {
+            return;
+        };
+        if let Some(issue) = self.issue(name, &endpoint) {
+            self.issued.insert(key, issue);
+        }
+    }
+
+    pub(crate) fn entry(&mut self, name: &id::Process) -> &mut Entry {
         self.entries.get_mut(name).expect("the entry is declared")
     }
 
@@ -209,13 +260,28 @@
         let (now, number) = (self.instant(), self.processes[name].fold.version().number);
         let entry = self.entry(name);
         let up = entry.links.get(to).is_some_and(|link| link.up);
-        let Some(call) = entry.calls.get_mut(request) else {
+        let Some(call) = entry.calls.get(request) else {
             return;
         };
-        if !up {
+        if call.may_have_run && call.sent.key.is_some() {
+            return self.refuse(name, request, ErrorKind::Interrupted.into());
+        }
+        let (fresh, team) = (call.sent.fresh, call.sent.team.clone());
+        let issue = if fresh && up {
+            self.issue(name, to)
+        } else {
+            None
+        };
+        if !up || fresh && issue.is_none() {
             let fault = ErrorKind::NoEndpoint.into();
             return self.refused(name, request, attempt, fault);
         }
+        let Some(call) = self.entry(name).calls.get_mut(request) else {
+            return;
+        };
+        if let Some(issue) = issue {
+            call.key = Some(issued_key(&team, &issue));
+        }
         call.stage = Stage::Offered(attempt, to.clone());
         let offer = Offer {
             sent: call.sent.clone(),
@@ -237,7 +303,7 @@
         document.map_or(Duration::ZERO, |d| d.policy.queue_time)
     }
 
-    fn pass(&mut self, name: &id::Process, to: &id::Endpoint, message: agent::Message) {
+    pub(crate) fn pass(&mut self, name: &id::Process, to: &id::Endpoint, message: agent::Message) {
         let from_life = self.processes[name].life;
         let link = self.entry(name).links.get(to).cloned().unwrap_or_default();
         self.send(Envelope {
@@ -250,9 +316,19 @@
         });
     }
 
-    fn refused(&mut self, name: &id::Process, request: &Request, attempt: Attempt, fault: Fault) {
+    pub(crate) fn refused(
+        &mut self,
+        name: &id::Process,
+        request: &Request,
+        attempt: Attempt,
+        mut fault: Fault,
+    ) {
         if let Some(call) = self.entry(name).calls.get_mut(request) {
             call.stage = Stage::Idle;
+            if call.sent.fresh && fault.kind() == ErrorKind::OwnerLost {
+                // The key was made for this offer, so that no life of any agent can have run it.
+                fault = ErrorKind::NoEndpoint.into();
+            }
         }
         let event = Event::Refused {
             request: request.clone(),
@@ -263,7 +339,7 @@
     }
 
     /// Handles an offer whose verdict never came: without a key it may have been run.
-    fn unanswered(&mut self, name: &id::Process, request: &Request, attempt: Attempt) {
+    pub(crate) fn unanswered(&mut self, name: &id::Process, request: &Request, attempt: Attempt) {
         let fault = Fault::new(ErrorKind::NoEndpoint);
         let Some(call) = self.entry(name).calls.get_mut(request) else {
             return;
@@ -285,7 +361,12 @@
     /// Gives a caller its final refusal; it says `run: no` only if no attempt can have been run.
     fn refuse(&mut self, name: &id::Process, request: &Request, fault: Fault) {
         let call = self.entry(name).calls.get(request);
-        let fault = if call.is_some_and(|call| call.may_have_run) {
+        let unsure = |call: &Call| {
+            // An earlier send of the caller's key may have run, and only its owner can know.
+            let own = call.key.is_some() && !call.sent.fresh;
+            call.may_have_run || own && call.owner_said != Some(fault.kind())
+        };
+        let fault = if call.is_some_and(unsure) {
             fault.run_unknown()
         } else {
             fault
@@ -328,8 +409,17 @@
     pub(crate) fn entry_message(&mut self, envelope: &Envelope, message: Message) {
         let (name, from) = (&envelope.to, &envelope.from);
         match message {
-            Message::Beat { hint, records } => {
-                self.beat(name, from, envelope.epoch, hint, &records)
+            Message::Beat {
+                hint,
+                position,
+                reached,
+                records,
+                suspects,
+            } => {
+                self.beat(name, from, envelope.epoch, hint);
+                self.adopt(name, position, &records);
+                self.teach(name, from, reached);
+                self.tell_entry(name, Event::Suspects(suspects));
             }
             Message::Reply(target, Reply::Verdict(verdict)) => self.verdict(name, &target, verdict),
             Message::Reply(target, reply) => self.reply(name, &target, reply),
@@ -371,6 +461,7 @@
                 }
             }
             Verdict::Refused { fault, .. } => {
+                call.owner_said = Some(fault.kind());
                 self.tell_entry(name, told);
                 self.refused(name, request, attempt, fault);
             }
@@ -411,7 +502,7 @@
     }
 
     /// Handles the break of an attempt that was admitted.
-    fn broken(&mut self, name: &id::Process, request: &Request, fault: Fault) {
+    pub(crate) fn broken(&mut self, name: &id::Process, request: &Request, fault: Fault) {
         let Some(call) = self.entry(name).calls.get_mut(request) else {
             return;
         };
@@ -464,114 +555,11 @@
     }
 }
 
-/// # Links
-impl World {
-    pub(crate) fn entry_tick(&mut self, name: &id::Process, beat: bool) {
-        self.tell_entry(name, Event::Tick);
-        let now = self.now;
-        let overdue = |link: &Link| link.unanswered.is_some_and(|sent| sent + ANSWER <= now);
-        let links = &self.entry(name).links;
-        let lost: Vec<_> = links
-            .iter()
-            .filter(|(_, link)| overdue(link))
-            .map(|(endpoint, _)| endpoint.clone())
-            .collect();
-        for endpoint in lost {
-            self.link_down(name, &endpoint);
-        }
-        if beat {
-            self.beat_all(name);
-        }
-    }
-
-    /// Sends a heartbeat on each link that owes no answer; dials those that are new or lost.
-    fn beat_all(&mut self, name: &id::Process) {
-        let Some(document) = self.processes[name].fold.document().cloned() else {
-            return;
-        };
-        let (now, number) = (self.now, self.processes[name].fold.version().number);
-        for endpoint in document.endpoints.keys() {
-            let life = self.processes[endpoint].life;
-            let link = self.entry(name).links.entry(endpoint.clone()).or_default();
-            if link.unanswered.is_some() {
-                continue;
-            }
-            if !link.up {
-                link.life = life;
-            }
-            link.unanswered = Some(now);
-            self.pass(name, endpoint, agent::Message::Beat(number));
-        }
-    }
-
-    fn beat(
-        &mut self,
-        name: &id::Process,
-        endpoint: &id::Endpoint,
-        epoch: Epoch,
-        hint: Hint,
-        records: &[SmolStr],
-    ) {
-        let link = self.entry(name).links.entry(endpoint.clone()).or_default();
-        if link.epoch != epoch {
-            return;
-        }
-        link.unanswered = None;
-        let endpoint = endpoint.clone();
-        if !std::mem::replace(&mut link.up, true) {
-            let peer = endpoint.clone();
-            self.note(name, None, Kind::Member { peer, up: true });
-            let endpoint = endpoint.clone();
-            self.tell_entry(name, Event::Up { endpoint });
-        }
-        self.tell_entry(name, Event::Hint { endpoint, hint });
-        self.adopt(name, records);
-    }
-
-    /// Gives a link up: what was on it is broken at both ends, and the next dial is a new link.
-    fn link_down(&mut self, name: &id::Process, endpoint: &id::Endpoint) {
-        let link = self.entry(name).links.entry(endpoint.clone()).or_default();
-        let (was_up, epoch, life) = (link.up, link.epoch, link.life);
-        *link = Link {
-            epoch: epoch + 1,
-            ..Link::default()
-        };
-        let closed = agent::Timer::Closed(name.clone(), epoch);
-        self.after(Duration::ZERO, Due::Agent(endpoint.clone(), life, closed));
-        if !was_up {
-            return;
-        }
-        let peer = endpoint.clone();
-        self.note(name, None, Kind::Member { peer, up: false });
-        let down = Event::Down {
-            endpoint: endpoint.clone(),
-        };
-        self.tell_entry(name, down);
-        self.break_calls(name, endpoint);
-    }
-
-    fn break_calls(&mut self, name: &id::Process, endpoint: &id::Endpoint) {
-        let at = |stage: &Stage| {
-            stage
-                .attempt()
-                .filter(|(_, at)| *at == endpoint)
-                .map(|(a, _)| a)
-        };
-        let calls = &self.entry(name).calls;
-        let broken: Vec<_> = calls
-            .iter()
-            .filter_map(|(request, call)| {
-                let offered = matches!(call.stage, Stage::Offered(..));
-                at(&call.stage).map(|attempt| (request.clone(), attempt, offered))
-            })
-            .collect();
-        for (request, attempt, offered) in broken {
-            if offered {
-                self.unanswered(name, &request, attempt);
-            } else {
-                self.broken(name, &request, ErrorKind::Interrupted.into());
-            }
-        }
+fn issued_key(team: &id::Team, issue: &Issue) -> Key {
+    Key {
+        team: team.clone(),
+        text: issue.to_smolstr(),
+        owner: Some(issue.owner),
     }
 }
 
--- a/crates/scene/src/parse.rs
+++ b/crates/scene/src/parse.rs
@@ -57,7 +57,7 @@
     ("team", "team NAME [weight N] [rate N]"),
     (
         "policy",
-        "policy deadline|queue-time|retry-horizon|stall TIME, or policy records|retry-percent N",
+        "policy deadline|queue-time|retry-horizon|stall|warm-up TIME, or policy records|retry-percent N",
     ),
     ("end", "end TIME"),
     ("at", "at TIME ACT"),
@@ -70,6 +70,7 @@
         "send",
         "send [N] SERVICE via ENTRY[,ENTRY..] [by TEAM] [key KEY] [every TIME] [poison]",
     ),
+    ("key", "key KEY of SERVICE via ENTRY"),
     ("kill", "kill PROCESS"),
     ("start", "start PROCESS"),
     ("stop", "stop PROCESS"),
@@ -309,6 +310,7 @@
         "queue-time" => policy.queue_time = whole(usage, value, duration)?,
         "retry-horizon" => policy.retry_horizon = whole(usage, value, duration)?,
         "stall" => policy.stall = whole(usage, value, duration)?,
+        "warm-up" => policy.warm_up = whole(usage, value, duration)?,
         "records" => policy.records = whole(usage, value, dec_uint)?,
         "retry-percent" => policy.retry_percent = whole(usage, value, dec_uint)?,
         other => return Err(format!("no policy `{other}`; write: {usage}")),
@@ -345,6 +347,10 @@
                 .iter()
                 .try_for_each(|entry| known(&script.entries, "entry", entry))
         }
+        Act::Key { service, entry, .. } => {
+            known(&script.document.services, "service", service)?;
+            known(&script.entries, "entry", entry)
+        }
         Act::Kill(name)
         | Act::Start(name)
         | Act::Stop(name)
--- a/crates/scene/src/world.rs
+++ b/crates/scene/src/world.rs
@@ -1,33 +1,36 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    sync::Arc,
     time::Duration,
 };
 
-use conf::{Document, Fold, Number, ZoneState, id};
+use conf::{Document, Fold, Number, id};
 use event::{Event, Kind};
 use fault::Fault;
+use once::Issue;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use smol_str::{SmolStr, ToSmolStr as _, format_smolstr};
+use smol_str::SmolStr;
 use tokio::time::Instant;
 use wire::{Attempt, Request};
 
 use crate::{
-    Act, Parts, Script, Send,
-    agent::{self, Agent, Machine},
+    Act, Parts, Script,
+    agent::{self, Agent},
     check,
     entry::{self, Entry},
+    machine::{Machine, Work},
 };
 
 /// Least time that a message takes.
-const LATENCY: Duration = Duration::from_millis(1);
+pub(crate) const LATENCY: Duration = Duration::from_millis(1);
 /// Most that a message takes beyond that, in microseconds.
 const JITTER: u64 = 500;
 /// Time between two ticks of a process.
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two heartbeats or two reads of the platform.
 const BEAT: u64 = 5;
+/// Start of every scenario, in nanoseconds since 1970.
+pub(crate) const EPOCH: u64 = 1_800_000_000_000_000_000;
 
 /// Number of one link between two processes, larger for each later one.
 pub(crate) type Epoch = u64;
@@ -73,10 +76,10 @@
     pub(crate) life: id::Incarnation,
     pub(crate) state: State,
     pub(crate) fold: Fold,
-    /// Accepted records, oldest first.
-    pub(crate) records: Vec<(Number, SmolStr)>,
+    /// Published records that it has folded, oldest first.
+    pub(crate) records: Vec<SmolStr>,
     /// What waits for a stopped process to wake up.
-    frozen: Vec<Due>,
+    pub(crate) frozen: Vec<Due>,
 }
 
 /// Message on its way.
@@ -104,11 +107,11 @@
     Sent(Sent),
     Message(Envelope),
     Tick(id::Process, id::Incarnation, u64),
-    /// The platform's answer to a read.
-    Page(id::Process, id::Incarnation, Vec<SmolStr>),
+    /// The platform's answer to a read after a place in the log.
+    Page(id::Process, id::Incarnation, usize, Vec<SmolStr>),
     Entry(id::Process, id::Incarnation, entry::Timer),
     Agent(id::Process, id::Incarnation, agent::Timer),
-    Machine(id::Endpoint, agent::Work),
+    Machine(id::Endpoint, Work),
 }
 
 impl Due {
@@ -117,7 +120,7 @@
         match self {
             Due::Message(envelope) => Some((&envelope.to, envelope.to_life)),
             Due::Tick(name, life, _)
-            | Due::Page(name, life, _)
+            | Due::Page(name, life, ..)
             | Due::Entry(name, life, _)
             | Due::Agent(name, life, _) => Some((name, *life)),
             Due::Act(_) | Due::Sent(_) | Due::Machine(..) => None,
@@ -132,7 +135,10 @@
     pub(crate) entry: id::Process,
     pub(crate) service: id::Service,
     pub(crate) team: id::Team,
+    /// Name of what must run once at most.
     pub(crate) key: Option<SmolStr>,
+    /// Whether the caller sent no key, so that the entry makes one for each offer.
+    pub(crate) fresh: bool,
     pub(crate) poison: bool,
     pub(crate) at: Duration,
     pub(crate) end: Option<(Duration, End)>,
@@ -175,7 +181,7 @@
     pub(crate) events: Vec<Event>,
 }
 
-enum Platform {
+pub(crate) enum Platform {
     Down,
     Stale(usize),
     Up,
@@ -191,16 +197,18 @@
     pub(crate) machines: BTreeMap<id::Endpoint, Machine>,
     pub(crate) facts: Facts,
     pub(crate) now: Duration,
+    /// Keys that entries issued, by name.
+    pub(crate) issued: BTreeMap<SmolStr, Issue>,
     base: Instant,
-    random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     queue: BTreeMap<(Duration, u64), Due>,
     order: u64,
-    document: Document,
-    log: Vec<SmolStr>,
-    platform: Platform,
-    cuts: BTreeSet<(SmolStr, SmolStr)>,
-    delays: BTreeMap<(SmolStr, SmolStr), Duration>,
-    silent: BTreeSet<(id::Process, id::Process, Epoch)>,
+    pub(crate) document: Document,
+    pub(crate) log: Vec<SmolStr>,
+    pub(crate) platform: Platform,
+    pub(crate) cuts: BTreeSet<(SmolStr, SmolStr)>,
+    pub(crate) delays: BTreeMap<(SmolStr, SmolStr), Duration>,
+    pub(crate) silent: BTreeSet<(id::Process, id::Process, Epoch)>,
     arrivals: HashMap<(id::Process, id::Process), Duration>,
 }
 
@@ -235,6 +243,7 @@
             machines: BTreeMap::new(),
             facts: Facts::default(),
             now: Duration::ZERO,
+            issued: BTreeMap::new(),
             base: Instant::now(),
             random: ChaCha8Rng::seed_from_u64(script.seed),
             queue: BTreeMap::new(),
@@ -263,12 +272,12 @@
         world
     }
 
-    fn start(&mut self, name: &id::Process) {
+    pub(crate) fn start(&mut self, name: &id::Process) {
         let zone = match self.script.entries.get(name) {
             Some(zone) => zone.clone(),
             None => self.script.document.endpoints[name].zone.clone(),
         };
-        let life = self.processes.get(name).map_or(1, |old| old.life + 1);
+        let life = EPOCH + u64::try_from(self.now.as_nanos()).unwrap_or(u64::MAX);
         let process = Process {
             zone: zone.clone(),
             life,
@@ -278,13 +287,13 @@
             frozen: Vec::new(),
         };
         self.processes.insert(name.clone(), process);
-        let seed = self.random.random();
+        let now = self.instant();
         if self.script.entries.contains_key(name) {
-            let policy = (self.parts.route)(&zone, seed, self.instant());
+            let policy = (self.parts.route)(&zone, life, now);
             self.entries.insert(name.clone(), Entry::new(policy));
         } else {
-            let gate = (self.parts.gate)(name, life, self.instant());
-            let ledger = (self.parts.ledger)(name, life, self.instant());
+            let gate = (self.parts.gate)(name, life, now);
+            let ledger = (self.parts.ledger)(name, life, now);
             self.agents.insert(name.clone(), Agent::new(gate, ledger));
         }
         let first = Duration::from_micros(self.random.random_range(0..JITTER));
@@ -299,7 +308,7 @@
         self.base + self.now
     }
 
-    fn at(&mut self, at: Duration, due: Due) {
+    pub(crate) fn at(&mut self, at: Duration, due: Due) {
         self.order += 1;
         self.queue.insert((at, self.order), due);
     }
@@ -328,14 +337,14 @@
     }
 
     /// Returns whether two processes stand on the two sides of a pair.
-    fn apart(&self, a: &SmolStr, b: &SmolStr, pair: &(SmolStr, SmolStr)) -> bool {
+    pub(crate) fn apart(&self, a: &SmolStr, b: &SmolStr, pair: &(SmolStr, SmolStr)) -> bool {
         let on = |name: &SmolStr, side: &SmolStr| {
             name == side || self.processes.get(name).is_some_and(|p| p.zone == *side)
         };
         on(a, &pair.0) && on(b, &pair.1) || on(a, &pair.1) && on(b, &pair.0)
     }
 
-    fn is_cut(&self, a: &SmolStr, b: &SmolStr) -> bool {
+    pub(crate) fn is_cut(&self, a: &SmolStr, b: &SmolStr) -> bool {
         self.cuts.iter().any(|pair| self.apart(a, b, pair))
     }
 
@@ -359,7 +368,7 @@
         });
     }
 
-    fn dispatch(&mut self, due: Due) {
+    pub(crate) fn dispatch(&mut self, due: Due) {
         if let Due::Sent(sent) = &due {
             // A paused process leaves its callers' connections waiting.
             let entry = self.processes.get_mut(&sent.entry);
@@ -386,7 +395,7 @@
                 Body::ToEntry(message) => self.entry_message(&envelope, message),
             },
             Due::Tick(name, life, count) => self.tick(&name, life, count),
-            Due::Page(name, _, records) => self.adopt(&name, &records),
+            Due::Page(name, _, after, records) => self.adopt(&name, after, &records),
             Due::Entry(name, _, timer) => self.entry_timer(&name, timer),
             Due::Agent(name, _, timer) => self.agent_timer(&name, timer),
             Due::Machine(endpoint, work) => self.machine_work(&endpoint, work),
@@ -405,178 +414,3 @@
         self.after(TICK, Due::Tick(name.clone(), life, count + 1));
     }
 }
-
-/// # Configuration
-impl World {
-    fn publish(&mut self) {
-        let number = self.log.len() as u64 + 1;
-        let document = serde_json::to_value(&self.document).unwrap_or_default();
-        let record = serde_json::json!({ "number": number, "document": document });
-        self.log.push(record.to_smolstr());
-    }
-
-    fn read_platform(&mut self, name: &id::Process) {
-        let shown = match self.platform {
-            Platform::Down => return,
-            Platform::Stale(length) => length,
-            Platform::Up => self.log.len(),
-        };
-        if self.is_cut(name, &SmolStr::new_static("platform")) {
-            return;
-        }
-        let own = self.processes[name].fold.version().number;
-        let known = usize::try_from(own).unwrap_or(usize::MAX);
-        if known < shown {
-            let page = self.log[known..shown].to_vec();
-            let life = self.processes[name].life;
-            self.after(2 * LATENCY, Due::Page(name.clone(), life, page));
-        }
-    }
-
-    /// Lets a process take in published records, from the platform or a peer.
-    pub(crate) fn adopt(&mut self, name: &id::Process, records: &[SmolStr]) {
-        for record in records {
-            let Some(process) = self.processes.get_mut(name) else {
-                return;
-            };
-            if process.fold.apply(record).is_err() {
-                continue;
-            }
-            let (number, life) = (process.fold.version().number, process.life);
-            process.records.push((number, record.clone()));
-            let document = process.fold.document().cloned();
-            self.facts
-                .versions
-                .push((self.now, name.clone(), life, number));
-            self.note(name, None, Kind::Version { number });
-            if let Some(document) = document {
-                self.enforce(name, number, document);
-            }
-        }
-    }
-
-    fn enforce(&mut self, name: &id::Process, number: Number, document: Arc<Document>) {
-        if self.entries.contains_key(name) {
-            self.tell_entry(name, route::Event::Document(document));
-        } else {
-            let now = self.instant();
-            self.agent(name).ledger.adopt(&document, now);
-            self.tell_agent(name, gate::Event::Document { number, document });
-        }
-    }
-}
-
-/// # Acts
-impl World {
-    fn act(&mut self, act: Act) {
-        match act {
-            Act::Send(send) => self.callers(&send),
-            Act::Kill(name) => self.kill(&name),
-            Act::Start(name) => self.start(&name),
-            Act::Stop(name) => self.set_state(&name, State::Stopped),
-            Act::Continue(name) => self.wake(&name),
-            Act::Terminate(name) => self.terminate(&name),
-            Act::Cut(a, b) => {
-                self.cuts.insert((a, b));
-            }
-            Act::Heal(a, b) => {
-                let pair = (a, b);
-                self.cuts.remove(&pair);
-                self.delays.remove(&pair);
-            }
-            Act::Late(a, b, time) => {
-                self.delays.insert((a, b), time);
-            }
-            Act::Silence(a, b) => self.silence(&a, &b),
-            Act::Zone(zone, out) => {
-                let state = if out { ZoneState::Out } else { ZoneState::In };
-                if let Some(zone) = self.document.zones.get_mut(&zone) {
-                    zone.state = state;
-                }
-                self.publish();
-            }
-            Act::Leave(name) => {
-                if let Some(endpoint) = self.document.endpoints.get_mut(&name) {
-                    endpoint.leaving = true;
-                }
-                self.publish();
-            }
-            Act::Publish => self.publish(),
-            Act::PlatformDown => self.platform = Platform::Down,
-            Act::PlatformStale => self.platform = Platform::Stale(self.log.len()),
-            Act::PlatformUp => self.platform = Platform::Up,
-            Act::EngineDown(..)
-            | Act::EngineUp(..)
-            | Act::EngineRestart(..)
-            | Act::EngineStall(..)
-            | Act::EngineTakes(..)
-            | Act::EngineCross(..) => self.machine_act(&act),
-        }
-    }
-
-    fn callers(&mut self, send: &Send) {
-        for i in 0..send.count {
-            let number = self.facts.sent.len() + 1;
-            let request = format_smolstr!("r{number}");
-            let once = self.document.services[&send.service]
-                .routes
-                .iter()
-                .any(|route| !route.repeatable);
-            let own = once.then(|| format_smolstr!("key-{number}"));
-            let sent = Sent {
-                request: request.clone(),
-                entry: send.entries[i as usize % send.entries.len()].clone(),
-                service: send.service.clone(),
-                team: send.team.clone(),
-                key: send.key.clone().filter(|_| once).or(own),
-                poison: send.poison,
-                at: self.now + send.every * i,
-                end: None,
-            };
-            self.facts.sent.insert(request, sent.clone());
-            self.at(sent.at, Due::Sent(sent));
-        }
-    }
-
-    fn set_state(&mut self, name: &id::Process, state: State) {
-        if let Some(process) = self.processes.get_mut(name) {
-            process.state = state;
-        }
-    }
-
-    fn kill(&mut self, name: &id::Process) {
-        self.set_state(name, State::Dead);
-        self.entry_killed(name);
-    }
-
-    fn wake(&mut self, name: &id::Process) {
-        self.set_state(name, State::Running);
-        let Some(process) = self.processes.get_mut(name) else {
-            return;
-        };
-        for due in std::mem::take(&mut process.frozen) {
-            self.dispatch(due);
-        }
-    }
-
-    fn silence(&mut self, a: &SmolStr, b: &SmolStr) {
-        let pair = (a.clone(), b.clone());
-        let mut silent = Vec::new();
-        for (name, entry) in &self.entries {
-            for (endpoint, link) in &entry.links {
-                if self.apart(name, endpoint, &pair) {
-                    silent.push((name.clone(), endpoint.clone(), link.epoch));
-                }
-            }
-        }
-        self.silent.extend(silent);
-    }
-
-    fn terminate(&mut self, name: &id::Process) {
-        if let Some(entry) = self.entries.get_mut(name) {
-            entry.leaving = true;
-        } else {
-            self.tell_agent(name, gate::Event::Leave);
-        }
-    }
-}
--- a/crates/scene/tests/suite/scene_files.rs
+++ b/crates/scene/tests/suite/scene_files.rs
@@ -57,6 +57,8 @@
     order_agent_dies,
     order_entry_dies,
     order_once,
+    order_own_key,
+    order_owner_moves,
     order_zone_cut,
     pair_crash_and_pause,
     pair_cut_and_zone_out,
