--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod peer;
+
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
@@ -15,7 +17,11 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[];
+const MEASURES: &[Measure] = &[(
+    "peer",
+    "What control costs a node, and the time until a change is in force",
+    |seed| Box::pin(peer::run(seed)),
+)];
 
 #[tokio::main]
 async fn main() -> ExitCode {
