--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real processes over stand-ins.
 
 mod command_line;
+mod config_spread;
 mod limits;
 mod metric_page;
 mod plain_path;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
 mod latency;
+mod peer;
 mod skew;
 mod slopes;
 
@@ -25,6 +26,11 @@
         "latency added to calling the engine directly, memory and idle processor time",
         latency::run,
     ),
+    (
+        "peer",
+        "What control costs a node, and the time until a change is in force",
+        peer::run,
+    ),
     (
         "skew",
         "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
