--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -2,9 +2,12 @@
 
 mod command_line;
 mod config_spread;
+mod graceful_shutdown;
 mod limits;
 mod metric_page;
 mod plain_path;
 mod refused_calls;
+mod run_once;
 mod secret_logs;
 mod time_line;
+mod whole_answers;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
 mod latency;
+mod once;
 mod peer;
 mod skew;
 mod slopes;
@@ -23,9 +24,14 @@
 const MEASURES: &[Measure] = &[
     (
         "latency",
-        "latency added to calling the engine directly, memory and idle processor time",
+        "Latency that the path adds to calling the engine directly, memory and idle processor time",
         latency::run,
     ),
+    (
+        "once",
+        "Cost of running at most once, and share of unknown outcomes",
+        |seed| Box::pin(once::run(seed)),
+    ),
     (
         "peer",
         "What control costs a node, and the time until a change is in force",
