Lead switches from the agents and hit them in process tests

A group had no leader and its stand-in no lock-step ranks. Agents now elect by rendezvous, plan from their engines' counters and give orders through a guard; fake-ranks and fake-barrier stand in for a group and count violations. The model check found that two leaders and one restarted agent could undo and commit the same switch, since a view was not taken at one moment; each round now asks twice, of the same lives.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,7 +5,9 @@
 mod admit;
 mod engine;
 mod health;
+mod lead;
 mod metrics;
+mod orders;
 mod run;
 mod serve;
 mod start;
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -4,13 +4,21 @@
 use conf::Settings;
 use event::Recorder;
 use gate::Event;
-use node::{Callee, Follow, Operator, Own, Ready, Shutdown, Watch};
+use node::{Callee, Follow, Links, Operator, Own, Ready, Shutdown, Watch};
 use once::Ledger;
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use wire::{Listener, Member, Role, Tls};
 
-use crate::{admit::Gatekeeper, engine::Engine, health, metrics::Metrics, serve::Server};
+use crate::{
+    admit::Gatekeeper,
+    engine::Engine,
+    health,
+    lead::{Lead, Quiet},
+    metrics::Metrics,
+    orders::Orders,
+    serve::Server,
+};
 
 /// Run records that are kept until the configuration says how many.
 const RECORDS: usize = 10_000;
@@ -67,12 +75,30 @@
         metrics: Metrics::register(&registry)?,
         shutdown: shutdown.clone(),
     };
-    let callee = Arc::new(Callee::new(
+    let orders = Orders::new(address, incarnation);
+    let callee = Callee::new(
         own.clone(),
         follow.clone(),
         recorder.clone(),
         Arc::default(),
-    ));
+    );
+    let callee = Arc::new(callee.orders(Arc::new(orders.clone())));
+    let links = Links::new(
+        tls,
+        own.clone(),
+        follow.clone(),
+        Arc::new(Quiet),
+        settings.heartbeat,
+    );
+    let lead = Lead {
+        process: settings.name.clone(),
+        endpoint: server.endpoint.clone(),
+        life: incarnation,
+        watch: follow.watch(),
+        links,
+        orders,
+        recorder: recorder.clone(),
+    };
     let parts = {
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || serde_json::json!({ "role": "agent", "load": gatekeeper.hint() }))
@@ -87,6 +113,7 @@
     );
     tokio::spawn(follow.clone().run(settings.platform));
     tokio::spawn(adopt(follow.watch(), gatekeeper.clone()));
+    tokio::spawn(lead.run());
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
     tokio::spawn(operator.run(operators));
--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -105,6 +105,7 @@
 }
 
 /// Describes a lock-step group of ranks.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Group {
@@ -121,6 +122,14 @@
     /// Whether the engines refuse orders with an old fencing number.
     #[serde(default)]
     pub fenced: bool,
+    /// Time between two plans of the expert map.
+    #[serde(default = "default_rebalance")]
+    #[serde_as(as = "unit::Span")]
+    pub rebalance: Duration,
+}
+
+const fn default_rebalance() -> Duration {
+    Duration::from_secs(300)
 }
 
 /// Describes an endpoint.
--- a/crates/expert/src/follower.rs
+++ b/crates/expert/src/follower.rs
@@ -1,9 +1,10 @@
 use conf::id;
+use serde::{Deserialize, Serialize};
 
 use crate::{Command, Fence, State};
 
 /// Order of a group's leader to one of its members, and the answer's address.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Order {
     /// Fencing number of the leader's round.
     pub fence: Fence,
@@ -14,7 +15,7 @@
 }
 
 /// Answer of a member to an order.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Report {
     /// Fencing number of the order.
     pub fence: Fence,
--- a/crates/expert/src/leader.rs
+++ b/crates/expert/src/leader.rs
@@ -29,6 +29,9 @@
     Idle,
     /// Reports of all members on their state.
     Ask,
+    /// The same reports again, from the same lives: only then did all of them heed this round at
+    /// one moment, also where an agent restarted and forgot a number.
+    Confirm,
     /// Answers to orders that end or mend what a round found.
     Mend,
     /// All members to load the weights of a map.
@@ -41,8 +44,8 @@
 
 /// Leads the switches of a group: pure, driven by reports and by the timeouts of its adapter.
 ///
-/// Each round begins by asking all members under a higher fencing number, which shuts out every
-/// order sent before. What the round does next rests on that full view alone. A round that meets
+/// Each round begins by asking all members, twice, under a higher fencing number, which shuts out
+/// every order sent before. What the round does next rests on that full view alone. A round that meets
 /// a refusal or a timeout is given up, and the next one finishes or undoes what it left.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Leader {
@@ -159,7 +162,15 @@
     fn advance(&mut self) -> Vec<Action> {
         match self.phase {
             Phase::Idle => Vec::new(),
-            Phase::Ask => self.decide(),
+            Phase::Ask if self.calm() => {
+                self.phase = Phase::Idle;
+                vec![Action::Steady]
+            }
+            Phase::Ask => {
+                self.phase = Phase::Confirm;
+                self.send_all(Command::Ask)
+            }
+            Phase::Confirm => self.decide(),
             Phase::Mend => self.begin(),
             Phase::Prepare(map) => {
                 let at = self.newest().map_or(0, |place| place.step) + self.margin;
@@ -178,6 +189,12 @@
         }
     }
 
+    /// Returns whether nothing is to be mended or begun.
+    fn calm(&self) -> bool {
+        let settled = |report: &Report| report.state.place.is_some_and(|p| p.next.is_none());
+        !self.wish && self.reports.iter().flatten().all(settled)
+    }
+
     /// Decides from a full view: mend what is half done, else start the wished switch.
     fn decide(&mut self) -> Vec<Action> {
         let mends = self.mends();
@@ -186,14 +203,10 @@
             return self.send(mends);
         }
         let switching = self.places().any(|(_, place)| place.next.is_some());
-        if switching {
+        if switching || !self.wish {
             self.phase = Phase::Idle;
             return Vec::new();
         }
-        if !self.wish {
-            self.phase = Phase::Idle;
-            return vec![Action::Steady];
-        }
         let seen = self
             .reports
             .iter()
--- a/crates/expert/src/popularity.rs
+++ b/crates/expert/src/popularity.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Adds the estimate that rests on another part of the group's tokens.
+    pub fn add(&mut self, other: &Popularity) {
+        let tokens = self.tokens.iter_mut().zip(&other.tokens);
+        tokens.for_each(|(own, other)| *own += other);
+        let scatter = self.scatter.iter_mut().zip(&other.scatter);
+        scatter.for_each(|(own, other)| *own = own.max(*other));
+    }
+
     /// Returns the estimated share of each expert of a layer, in sum 1.
     #[must_use]
     pub fn layer(&self, layer: usize) -> Vec<f64> {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,19 +2,25 @@
 //!
 //! Nothing here is shipped.
 
+mod barrier;
 mod caller;
 mod engine;
 mod fleet;
+mod group;
 mod http;
 mod platform;
 mod process;
+mod ranks;
 mod relay;
 mod service;
 
+pub use barrier::{Barrier, Steps};
 pub use caller::{Answer, Caller};
 pub use engine::{Behaviour, Engine, draft};
 pub use fleet::{Fleet, KEY, Plan};
+pub use group::Group;
 pub use platform::{Mode, Platform, publish};
 pub use process::{Process, Signal, build, program};
+pub use ranks::{Part, Ranks};
 pub use relay::{Flow, Relay};
 pub use service::Service;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
 mod skew;
+mod switch;
 
 use std::process::ExitCode;
 
@@ -17,11 +18,18 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[(
-    "skew",
-    "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
-    skew::measure,
-)];
+const MEASURES: &[Measure] = &[
+    (
+        "skew",
+        "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
+        skew::measure,
+    ),
+    (
+        "switch",
+        "Switches of expert maps while engines and agents are ended and paused",
+        switch::measure,
+    ),
+];
 
 #[tokio::main]
 async fn main() -> ExitCode {
