--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,8 @@
 mod lead;
 mod metrics;
 mod orders;
+mod outlet;
+mod record;
 mod run;
 mod serve;
 mod start;
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -1,13 +1,14 @@
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use anyhow::Context as _;
 use conf::Settings;
 use event::Recorder;
 use gate::Event;
-use node::{Callee, Follow, Links, Operator, Own, Ready, Shutdown, Watch};
-use once::Ledger;
+use node::{Callee, Follow, Links, Operator, Overlay, Own, Ready, Shutdown, Watch};
+use once::Records;
+use peer::Members;
 use prometheus::Registry;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 use wire::{Listener, Member, Role, Tls};
 
 use crate::{
@@ -17,12 +18,11 @@
     lead::{Lead, Quiet},
     metrics::Metrics,
     orders::Orders,
+    outlet::Outlets,
+    record::Book,
     serve::Server,
 };
 
-/// Run records that are kept until the configuration says how many.
-const RECORDS: usize = 10_000;
-
 /// Runs an agent until it is told to shut down and all in flight has ended.
 ///
 /// # Errors
@@ -50,7 +50,10 @@
     let shutdown = node::shutdown()?;
     let registry = Registry::new();
     let incarnation = node::incarnation();
-    let gatekeeper = Gatekeeper::new(Box::new(gate::Plain::new(endpoint.clone(), incarnation)));
+    let gatekeeper = {
+        let policy = gate::Guard::new(endpoint.clone(), incarnation, Instant::now());
+        Gatekeeper::new(Box::new(policy), endpoint.clone(), recorder.clone())
+    };
     let member = Member {
         process: settings.name.clone(),
         incarnation,
@@ -63,42 +66,43 @@
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || gatekeeper.hint())
     };
-    let own = Own::new(member, follow.clone(), recorder.clone()).load(load);
+    follow.take_turns(&member);
+    follow.register(&registry)?;
+    let own = Own::new(member, follow.clone(), recorder.clone())
+        .load(load)
+        .suspicions(Arc::new(gatekeeper.clone()));
     let engine = Engine::new(address);
-    let ledger: Box<dyn Ledger> = Box::new(once::Plain::new(RECORDS));
+    let metrics = Metrics::register(&registry)?;
+    let ledger = Records::new(endpoint.clone(), incarnation, Instant::now());
+    let book = Book::new(Box::new(ledger), metrics.clone());
     let server = Server {
         endpoint,
         gatekeeper: gatekeeper.clone(),
-        ledger: Arc::new(Mutex::new(ledger)),
+        book: book.clone(),
+        outlets: Outlets::default(),
         engine: engine.clone(),
         recorder: recorder.clone(),
-        metrics: Metrics::register(&registry)?,
+        metrics: metrics.clone(),
         shutdown: shutdown.clone(),
     };
     let orders = Orders::new(address, incarnation);
-    let callee = Callee::new(
+    let members = Arc::new(Members::default());
+    let overlay = Overlay::new(
         own.clone(),
         follow.clone(),
-        recorder.clone(),
-        Arc::default(),
+        members.clone(),
+        settings.peers.clone(),
     );
+    let callee = Callee::new(own.clone(), follow.clone(), recorder.clone(), members);
     let callee = Arc::new(callee.orders(Arc::new(orders.clone())));
     let links = Links::new(
-        tls,
+        tls.clone(),
         own.clone(),
         follow.clone(),
         Arc::new(Quiet),
         settings.heartbeat,
     );
-    let lead = Lead {
-        process: settings.name.clone(),
-        endpoint: server.endpoint.clone(),
-        life: incarnation,
-        watch: follow.watch(),
-        links,
-        orders,
-        recorder: recorder.clone(),
-    };
+    let lead = lead(&server, own.clone(), follow.watch(), links, orders);
     let parts = {
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || serde_json::json!({ "role": "agent", "load": gatekeeper.hint() }))
@@ -111,10 +115,13 @@
         shutdown.clone(),
         parts,
     );
-    tokio::spawn(follow.clone().run(settings.platform));
-    tokio::spawn(adopt(follow.watch(), gatekeeper.clone()));
     tokio::spawn(lead.run());
+    let has_peers = !settings.peers.is_empty();
+    tokio::spawn(follow.clone().run(settings.platform, has_peers));
+    tokio::spawn(overlay.run(tls, settings.heartbeat));
+    tokio::spawn(adopt(follow.watch(), book, gatekeeper.clone()));
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
+    tokio::spawn(health::tick(gatekeeper.clone(), metrics));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
     tokio::spawn(operator.run(operators));
     ready.print();
@@ -122,6 +129,20 @@
     Ok(())
 }
 
+/// Makes the part that leads the endpoint's group when it is this agent's turn.
+fn lead(server: &Server, own: Own, watch: Watch, links: Links, orders: Orders) -> Lead {
+    let member = own.beat().member;
+    Lead {
+        process: member.process,
+        endpoint: server.endpoint.clone(),
+        life: member.incarnation,
+        watch,
+        links,
+        orders,
+        recorder: server.recorder.clone(),
+    }
+}
+
 /// Waits for the shutdown, refuses new work, and lets all in flight end.
 async fn leave(shutdown: &Shutdown, own: &Own, gatekeeper: &Gatekeeper) {
     shutdown.draining().await;
@@ -131,10 +152,11 @@
 }
 
 /// Brings each new configuration into force.
-async fn adopt(mut watch: Watch, gatekeeper: Gatekeeper) {
+async fn adopt(mut watch: Watch, book: Book, gatekeeper: Gatekeeper) {
     loop {
         let current = watch.borrow_and_update().clone();
         if let Some(document) = current.document {
+            book.adopt(&document);
             gatekeeper.tell(Event::Document {
                 number: current.version.number,
                 document,
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -20,7 +20,7 @@
 pub use fleet::{Fleet, KEY, Plan};
 pub use group::Group;
 pub use platform::{Mode, Platform, publish};
-pub use process::{Process, Signal, build, program};
+pub use process::{Process, Signal, Usage, build, program};
 pub use ranks::{Part, Ranks};
 pub use relay::{Flow, Relay};
 pub use service::Service;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod latency;
 mod skew;
 mod switch;
 
@@ -19,6 +20,11 @@
 
 /// All measures, by name.
 const MEASURES: &[Measure] = &[
+    (
+        "latency",
+        "latency added to calling the engine directly, memory and idle processor time",
+        latency::run,
+    ),
     (
         "skew",
         "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
