--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod config_spread;
 mod graceful_shutdown;
 mod limits;
+mod map_switches;
 mod metric_page;
 mod plain_path;
 mod refused_calls;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -7,6 +7,7 @@
 mod peer;
 mod skew;
 mod slopes;
+mod switch;
 
 use std::process::ExitCode;
 
@@ -47,6 +48,11 @@
         "What control costs for each link, team, endpoint, change, record, event and request",
         slopes::measure,
     ),
+    (
+        "switch",
+        "Switches of expert maps while engines and agents are ended and paused",
+        switch::measure,
+    ),
 ];
 
 #[tokio::main]
