--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -26,14 +26,46 @@
 
 /// All measures, by name.
 const MEASURES: &[Measure] = &[
-    ("latency", "Latency that the path adds to calling the engine directly, memory and idle processor time", latency::run),
-    ("load", "Overload, with one large team and small ones", load::run),
-    ("once", "Cost of running at most once, and share of unknown outcomes", |seed| Box::pin(once::run(seed))),
-    ("peer", "What control costs a node, and the time until a change is in force", peer::run),
-    ("skew", "Skew of expert maps and bytes of weights moved; draws docs/skew.svg", skew::measure),
-    ("slopes", "What control costs for each link, team, endpoint, change, record, event and request", slopes::measure),
-    ("switch", "Switches of expert maps while engines and agents are ended and paused", switch::measure),
-    ("zone", "Service while an availability zone leaves and returns", zone::run),
+    (
+        "latency",
+        "Latency that the path adds to calling the engine directly, memory and idle processor time",
+        latency::run,
+    ),
+    (
+        "load",
+        "Overload, with one large team and small ones",
+        load::run,
+    ),
+    (
+        "once",
+        "Cost of running at most once, and share of unknown outcomes",
+        |seed| Box::pin(once::run(seed)),
+    ),
+    (
+        "peer",
+        "What control costs a node, and the time until a change is in force",
+        peer::run,
+    ),
+    (
+        "skew",
+        "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
+        skew::measure,
+    ),
+    (
+        "slopes",
+        "What control costs for each link, team, endpoint, change, record, event and request",
+        slopes::measure,
+    ),
+    (
+        "switch",
+        "Switches of expert maps while engines and agents are ended and paused",
+        switch::measure,
+    ),
+    (
+        "zone",
+        "Service while an availability zone leaves and returns",
+        zone::run,
+    ),
 ];
 
 #[tokio::main]
