Answer a body that is too large or slow with its own refusal

Cause: once an offer was admitted, the task that sends the body reset the stream and its reason was lost, so the caller got 502 `interrupted`. Ruled out: reading the whole body before the choice, which needs memory for each stream. Change: the task leaves its reason where the reader of the answer finds it; each further piece of a body must come within the time that the first ones have. Before: limits::body_too_large failed with 502.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,4 +1,8 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use fault::{ErrorKind, Fault};
@@ -11,7 +15,7 @@
 };
 use wire::{Attempt, Frame, Head, Receiver, Reply, Request, Sender};
 
-use crate::offer::{self, Admitted};
+use crate::offer::{self, Admitted, Cut};
 
 /// Time in which a broken attempt must be found again over another link.
 const RESUME: Duration = Duration::from_secs(5);
@@ -39,6 +43,8 @@
     receiver: Receiver<Reply>,
     delivery: Delivery,
     upload: Option<JoinHandle<Sender<Frame>>>,
+    /// Why the caller's own body was cut, if it was.
+    fault: Arc<OnceLock<ErrorKind>>,
     control: Option<Sender<Frame>>,
     breaks: u32,
 }
@@ -75,10 +81,15 @@
                 .await
                 .map_err(|_| ErrorKind::Interrupted)?;
         }
+        let fault = Arc::new(OnceLock::new());
+        let blame = fault.clone();
         let upload = tokio::spawn(async move {
             let Upload { first, rest, limit } = upload;
             let sent = offer::send_body(&mut sender, first, rest, limit).await;
-            if sent.is_err() {
+            if let Err(cut) = sent {
+                if let Cut::Caller(kind) = cut {
+                    let _ = blame.set(kind);
+                }
                 sender.reset();
             }
             sender
@@ -91,6 +102,7 @@
             attempt,
             receiver,
             upload: Some(upload),
+            fault,
             control: None,
             breaks: 0,
         })
@@ -128,7 +140,11 @@
     /// Returns a fault if the answer ends early or cannot be found again.
     pub(crate) async fn next(&mut self) -> Result<Piece, Fault> {
         loop {
-            if let Ok(Some(reply)) = self.receiver.receive().await {
+            let received = self.receiver.receive().await;
+            if let Some(kind) = self.fault.get() {
+                return Err(Fault::new(*kind).run_unknown());
+            }
+            if let Ok(Some(reply)) = received {
                 let piece = self.delivery.accept(reply)?;
                 if matches!(piece, Piece::Data(_)) {
                     self.breaks = 0;
--- a/crates/entry/src/offer.rs
+++ b/crates/entry/src/offer.rs
@@ -11,6 +11,8 @@
     Attempt, CHUNK, Frame, Hint, Link, Offer, Receiver, Reply, Request, Sender, Token, Verdict,
 };
 
+use crate::prefix::PATIENCE;
+
 /// Time in which an agent must answer an offer, beyond the time that work may queue.
 const ANSWER: Duration = Duration::from_secs(2);
 
@@ -93,26 +95,56 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the stream breaks, the caller is gone, or the body is larger than `limit`.
+/// Returns an error if the stream breaks, the caller is gone or slow, or the body is larger than
+/// `limit`.
 pub(crate) async fn send_body(
     sender: &mut Sender<Frame>,
     first: Bytes,
     rest: Option<Incoming>,
     limit: u64,
-) -> io::Result<()> {
+) -> Result<(), Cut> {
     let mut length = send_bytes(sender, first).await?;
     if let Some(mut body) = rest {
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(io::Error::other)?.into_data() else {
-                continue;
-            };
-            length += send_bytes(sender, data).await?;
+        while let Some(data) = next_bytes(&mut body).await? {
+            length += data.len() as u64;
             if length > limit {
-                return Err(io::Error::other("the body is larger than the limit"));
+                return Err(Cut::Caller(ErrorKind::TooLarge));
+            }
+            send_bytes(sender, data).await?;
+        }
+    }
+    sender.send(&Frame::End { length }).await?;
+    Ok(())
+}
+
+/// Reads the next bytes that the caller sends; `None` at the end of the body.
+async fn next_bytes(body: &mut Incoming) -> Result<Option<Bytes>, Cut> {
+    loop {
+        let frame = time::timeout(PATIENCE, body.frame()).await;
+        match frame.map_err(|_| Cut::Caller(ErrorKind::SlowCaller))? {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(Cut::Caller(ErrorKind::Malformed)),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
             }
         }
     }
-    sender.send(&Frame::End { length }).await
+}
+
+/// Says why a request body did not get through whole.
+pub(crate) enum Cut {
+    /// The caller is at fault.
+    Caller(ErrorKind),
+    /// The stream to the agent broke.
+    Link,
+}
+
+impl From<io::Error> for Cut {
+    fn from(_: io::Error) -> Self {
+        Self::Link
+    }
 }
 
 async fn send_bytes(sender: &mut Sender<Frame>, bytes: Bytes) -> io::Result<u64> {
--- a/crates/entry/src/prefix.rs
+++ b/crates/entry/src/prefix.rs
@@ -9,8 +9,8 @@
 
 /// Bytes of a body that are read before an endpoint is chosen.
 const HEAD: usize = 64 * 1024;
-/// Time in which the caller must send them.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// Time in which the caller must send them, and each further piece.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
 /// Length of the shortest prefix that is hashed; each next one is twice as long.
 const SHORTEST: usize = 256;
 
