--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -4,7 +4,7 @@
 use conf::Settings;
 use event::Recorder;
 use gate::Event;
-use node::{Callee, Follow, Operator, Overlay, Own, Ready, Shutdown, Watch};
+use node::{Callee, Follow, Links, Operator, Overlay, Own, Ready, Shutdown, Watch};
 use once::Records;
 use peer::Members;
 use prometheus::Registry;
@@ -12,7 +12,14 @@
 use wire::{Listener, Member, Role, Tls};
 
 use crate::{
-    admit::Gatekeeper, engine::Engine, health, metrics::Metrics, outlet::Outlets, record::Book,
+    admit::Gatekeeper,
+    engine::Engine,
+    health,
+    lead::{Lead, Quiet},
+    metrics::Metrics,
+    orders::Orders,
+    outlet::Outlets,
+    record::Book,
     serve::Server,
 };
 
@@ -78,6 +85,7 @@
         metrics: metrics.clone(),
         shutdown: shutdown.clone(),
     };
+    let orders = Orders::new(address, incarnation);
     let members = Arc::new(Members::default());
     let overlay = Overlay::new(
         own.clone(),
@@ -85,12 +93,16 @@
         members.clone(),
         settings.peers.clone(),
     );
-    let callee = Arc::new(Callee::new(
+    let callee = Callee::new(own.clone(), follow.clone(), recorder.clone(), members);
+    let callee = Arc::new(callee.orders(Arc::new(orders.clone())));
+    let links = Links::new(
+        tls.clone(),
         own.clone(),
         follow.clone(),
-        recorder.clone(),
-        members,
-    ));
+        Arc::new(Quiet),
+        settings.heartbeat,
+    );
+    let lead = lead(&server, own.clone(), follow.watch(), links, orders);
     let parts = {
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || serde_json::json!({ "role": "agent", "load": gatekeeper.hint() }))
@@ -103,6 +115,7 @@
         shutdown.clone(),
         parts,
     );
+    tokio::spawn(lead.run());
     let has_peers = !settings.peers.is_empty();
     tokio::spawn(follow.clone().run(settings.platform, has_peers));
     tokio::spawn(overlay.run(tls, settings.heartbeat));
@@ -116,6 +129,20 @@
     Ok(())
 }
 
+/// Makes the part that leads the endpoint's group when it is this agent's turn.
+fn lead(server: &Server, own: Own, watch: Watch, links: Links, orders: Orders) -> Lead {
+    let member = own.beat().member;
+    Lead {
+        process: member.process,
+        endpoint: server.endpoint.clone(),
+        life: member.incarnation,
+        watch,
+        links,
+        orders,
+        recorder: server.recorder.clone(),
+    }
+}
+
 /// Waits for the shutdown, refuses new work, and lets all in flight end.
 async fn leave(shutdown: &Shutdown, own: &Own, gatekeeper: &Gatekeeper) {
     shutdown.draining().await;
--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -3,11 +3,15 @@
 mod cold_rush;
 mod command_line;
 mod config_spread;
+mod graceful_shutdown;
 mod limits;
+mod map_switches;
 mod metric_page;
 mod plain_path;
 mod refused_calls;
+mod run_once;
 mod secret_logs;
 mod silent_link;
 mod time_line;
+mod whole_answers;
 mod zone_leaves;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,9 +5,11 @@
 mod bench;
 mod latency;
 mod load;
+mod once;
 mod peer;
 mod skew;
 mod slopes;
+mod switch;
 mod zone;
 
 use std::process::ExitCode;
@@ -24,20 +26,20 @@
 
 /// All measures, by name.
 const MEASURES: &[Measure] = &[
+    (
+        "latency",
+        "Latency that the path adds to calling the engine directly, memory and idle processor time",
+        latency::run,
+    ),
     (
         "load",
         "Overload, with one large team and small ones",
         load::run,
     ),
     (
-        "zone",
-        "Service while an availability zone leaves and returns",
-        zone::run,
-    ),
-    (
-        "latency",
-        "latency added to calling the engine directly, memory and idle processor time",
-        latency::run,
+        "once",
+        "Cost of running at most once, and share of unknown outcomes",
+        |seed| Box::pin(once::run(seed)),
     ),
     (
         "peer",
@@ -54,6 +56,16 @@
         "What control costs for each link, team, endpoint, change, record, event and request",
         slopes::measure,
     ),
+    (
+        "switch",
+        "Switches of expert maps while engines and agents are ended and paused",
+        switch::measure,
+    ),
+    (
+        "zone",
+        "Service while an availability zone leaves and returns",
+        zone::run,
+    ),
 ];
 
 #[tokio::main]
