--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -232,10 +232,12 @@
             ("deadline", policy.deadline),
             ("retry_horizon", policy.retry_horizon),
             ("queue_time", policy.queue_time),
+            ("warm_up", policy.warm_up),
             ("stall", policy.stall),
         ];
         for (field, span) in spans {
-            let kept = (field == "queue_time" || !span.is_zero()) && span <= SPAN_LIMIT;
+            let zero = ["queue_time", "warm_up"].contains(&field);
+            let kept = (zero || !span.is_zero()) && span <= SPAN_LIMIT;
             let value = format!("{span:?}");
             let rule = "is not within 0 to 1 day";
             let mend = "give a time such as \"30s\"";
--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the real processes over stand-ins.
 
+mod cold_rush;
 mod command_line;
 mod config_spread;
 mod graceful_shutdown;
@@ -10,5 +11,7 @@
 mod refused_calls;
 mod run_once;
 mod secret_logs;
+mod silent_link;
 mod time_line;
 mod whole_answers;
+mod zone_leaves;
--- /dev/null
+++ b/crates/fake/tests/suite/silent_link.rs
@@ -0,0 +1,42 @@
+use std::time::Duration;
+
+use fake::{Caller, Fleet, Flow, KEY, Plan, Relay, draft};
+use tokio::time::{self, Instant};
+
+/// Time in which a silent link must be left and its endpoint reached again.
+const NOTICED: Duration = Duration::from_secs(2);
+/// Time for a new link.
+const REDIAL: Duration = Duration::from_secs(1);
+/// Time in which a request that was in flight must have its final answer.
+const FINAL: Duration = Duration::from_secs(10);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn left_in_time() {
+    let mut fleet = Fleet::start(Plan::default()).await.unwrap();
+    let agent = fleet.document.endpoints["drafts-a-0"].agent;
+    let (relay, address) = Relay::start(agent).await.unwrap();
+    fleet
+        .document
+        .endpoints
+        .get_mut("drafts-a-0")
+        .unwrap()
+        .agent = address;
+    fleet.publish().await.unwrap();
+    time::sleep(NOTICED).await;
+    fleet.wait_ready().await.unwrap();
+    let caller = Caller::new(KEY, false);
+    let entry = fleet.callers("entry-a-0").unwrap();
+    let long = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.draft(entry, "long", 1000).await }
+    });
+    time::sleep(Duration::from_millis(500)).await;
+    let silenced = Instant::now();
+    relay.set(Flow::Silence);
+    time::sleep(NOTICED + REDIAL).await;
+    let answer = caller.draft(entry, "p", 4).await.unwrap();
+    assert_eq!(answer.text(), draft("p", 4), "{answer:?}");
+    let long = long.await.unwrap().unwrap();
+    assert!(silenced.elapsed() < FINAL, "{:?}", silenced.elapsed());
+    assert!(long.body.is_none() || long.text() == draft("long", 1000));
+}
