--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,6 +1,7 @@
 use fault::Fault;
 use once::Usage;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use wire::Hint;
 
 /// Metrics of an agent.
 #[derive(Clone)]
@@ -16,6 +17,8 @@
     pub(crate) records: IntGauge,
     /// Bytes of answers stored with them.
     pub(crate) record_bytes: IntGauge,
+    limit: IntGauge,
+    queued: IntGauge,
 }
 
 impl Metrics {
@@ -38,6 +41,11 @@
                 "apricot_agent_record_bytes",
                 "Bytes of answers stored with run records",
             )?,
+            limit: IntGauge::new(
+                "apricot_agent_limit",
+                "Attempts in flight that are allowed now",
+            )?,
+            queued: IntGauge::new("apricot_agent_queued", "Attempts that wait")?,
         };
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.runs.clone()))?;
@@ -45,6 +53,8 @@
         registry.register(Box::new(metrics.strays.clone()))?;
         registry.register(Box::new(metrics.records.clone()))?;
         registry.register(Box::new(metrics.record_bytes.clone()))?;
+        registry.register(Box::new(metrics.limit.clone()))?;
+        registry.register(Box::new(metrics.queued.clone()))?;
         Ok(metrics)
     }
 
@@ -56,6 +66,12 @@
             .set(i64::try_from(usage.bytes).unwrap_or(i64::MAX));
     }
 
+    /// Shows the load.
+    pub(crate) fn load(&self, hint: Hint) {
+        self.limit.set(i64::from(hint.limit));
+        self.queued.set(i64::from(hint.queued));
+    }
+
     /// Counts a refusal.
     pub(crate) fn refused(&self, fault: &Fault) {
         self.refusals
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -4,8 +4,9 @@
 use conf::Settings;
 use event::Recorder;
 use gate::Event;
-use node::{Callee, Follow, Operator, Own, Ready, Shutdown, Watch};
+use node::{Callee, Follow, Operator, Overlay, Own, Ready, Shutdown, Watch};
 use once::Records;
+use peer::Members;
 use prometheus::Registry;
 use tokio::{net::TcpListener, time::Instant};
 use wire::{Listener, Member, Role, Tls};
@@ -42,7 +43,10 @@
     let shutdown = node::shutdown()?;
     let registry = Registry::new();
     let incarnation = node::incarnation();
-    let gatekeeper = Gatekeeper::new(Box::new(gate::Plain::new(endpoint.clone(), incarnation)));
+    let gatekeeper = {
+        let policy = gate::Guard::new(endpoint.clone(), incarnation, Instant::now());
+        Gatekeeper::new(Box::new(policy), endpoint.clone(), recorder.clone())
+    };
     let member = Member {
         process: settings.name.clone(),
         incarnation,
@@ -55,7 +59,11 @@
         let gatekeeper = gatekeeper.clone();
         Arc::new(move || gatekeeper.hint())
     };
-    let own = Own::new(member, follow.clone(), recorder.clone()).load(load);
+    follow.take_turns(&member);
+    follow.register(&registry)?;
+    let own = Own::new(member, follow.clone(), recorder.clone())
+        .load(load)
+        .suspicions(Arc::new(gatekeeper.clone()));
     let engine = Engine::new(address);
     let metrics = Metrics::register(&registry)?;
     let ledger = Records::new(endpoint.clone(), incarnation, Instant::now());
@@ -67,14 +75,21 @@
         outlets: Outlets::default(),
         engine: engine.clone(),
         recorder: recorder.clone(),
-        metrics,
+        metrics: metrics.clone(),
         shutdown: shutdown.clone(),
     };
+    let members = Arc::new(Members::default());
+    let overlay = Overlay::new(
+        own.clone(),
+        follow.clone(),
+        members.clone(),
+        settings.peers.clone(),
+    );
     let callee = Arc::new(Callee::new(
         own.clone(),
         follow.clone(),
         recorder.clone(),
-        Arc::default(),
+        members,
     ));
     let parts = {
         let gatekeeper = gatekeeper.clone();
@@ -88,9 +103,12 @@
         shutdown.clone(),
         parts,
     );
-    tokio::spawn(follow.clone().run(settings.platform));
+    let has_peers = !settings.peers.is_empty();
+    tokio::spawn(follow.clone().run(settings.platform, has_peers));
+    tokio::spawn(overlay.run(tls, settings.heartbeat));
     tokio::spawn(adopt(follow.watch(), book, gatekeeper.clone()));
     tokio::spawn(health::watch(engine, gatekeeper.clone()));
+    tokio::spawn(health::tick(gatekeeper.clone(), metrics));
     tokio::spawn(node::serve(listener, callee, Some(Arc::new(server))));
     tokio::spawn(operator.run(operators));
     ready.print();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -75,6 +75,8 @@
     headers: Vec<Header>,
     first: Bytes,
     rest: Option<Incoming>,
+    /// Whether `first` is the whole body, so that another attempt can send it again.
+    whole: bool,
     hashes: Vec<u64>,
 }
 
@@ -141,6 +143,7 @@
         Ok(Self {
             hashes: prefix.hashes(),
             first: prefix.bytes,
+            whole: prefix.rest.is_none(),
             rest: prefix.rest,
             path: parts
                 .uri
@@ -171,7 +174,7 @@
             match action {
                 Action::GiveUp { fault, .. } => return Err(self.refusal(fault)),
                 Action::Abandon { .. } => {}
-                Action::Offer { .. } if self.may_have_run && !self.route.repeatable => {
+                Action::Offer { .. } if !self.may_try() => {
                     return Err(self.refusal(ErrorKind::Interrupted.into()));
                 }
                 Action::Offer {
@@ -180,7 +183,14 @@
                     let Some(admitted) = self.offer(&choice, attempt, &endpoint).await else {
                         continue;
                     };
-                    match self.start(admitted, &endpoint).await {
+                    let started = tokio::select! {
+                        started = self.start(admitted, &endpoint) => started,
+                        () = choice.abandoned(attempt) => {
+                            self.may_have_run = true;
+                            continue;
+                        }
+                    };
+                    match started {
                         Ok(started) => return Ok(self.deliver(started, choice)),
                         Err(fault) => self.broken(&choice, attempt, fault),
                     }
@@ -189,6 +199,17 @@
         }
     }
 
+    /// Returns whether another attempt can send the whole body and may be run.
+    fn may_try(&self) -> bool {
+        let repeatable = self.route.repeatable || !self.may_have_run;
+        repeatable && self.replayable()
+    }
+
+    /// Returns whether no part of the body has been passed on for good.
+    fn replayable(&self) -> bool {
+        self.whole || self.rest.is_some()
+    }
+
     fn ask(&self) -> Ask {
         Ask {
             request: self.request.clone(),
@@ -198,6 +219,8 @@
             repeatable: self.route.repeatable,
             owner: self.repeat.owner().cloned(),
             prefix: self.hashes.clone(),
+            fingerprint: self.fingerprint(),
+            replayable: self.rest.is_none(),
             deadline: self.deadline,
         }
     }
@@ -263,7 +286,7 @@
                 request,
                 attempt,
                 fault,
-                replayable: true,
+                replayable: self.replayable(),
             };
         }
         Event::Refused {
@@ -344,7 +367,7 @@
 
     fn broken(&mut self, choice: &Choice, attempt: Attempt, fault: Fault) {
         self.may_have_run |= fault.run() == Run::Unknown;
-        let replayable = self.rest.is_none() && fault.run() == Run::Unknown;
+        let replayable = self.replayable() && fault.run() == Run::Unknown;
         choice.tell(Event::Broken {
             request: self.request.clone(),
             attempt,
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -90,6 +90,10 @@
                         request: self.request.clone(),
                         attempt: stream.attempt(),
                     });
+                    if sender.capacity() == 0 {
+                        let request = self.request.clone();
+                        choice.tell(Event::Waiting { request });
+                    }
                     if sender.send(Ok(data)).await.is_err() {
                         return End::CallerGone;
                     }
--- a/crates/fake/tests/suite/main.rs
+++ b/crates/fake/tests/suite/main.rs
@@ -1,7 +1,11 @@
 //! Tests of the real processes over stand-ins.
 
+mod command_line;
 mod graceful_shutdown;
+mod limits;
 mod plain_path;
 mod refused_calls;
 mod run_once;
+mod secret_logs;
+mod time_line;
 mod whole_answers;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,7 +2,9 @@
 //!
 //! Each measure is seeded, states its own targets, and compares with baselines in the same run.
 
+mod latency;
 mod once;
+mod skew;
 
 use std::process::ExitCode;
 
@@ -17,11 +19,23 @@
 );
 
 /// All measures, by name.
-const MEASURES: &[Measure] = &[(
-    "once",
-    "Cost of running at most once, and share of unknown outcomes",
-    |seed| Box::pin(once::run(seed)),
-)];
+const MEASURES: &[Measure] = &[
+    (
+        "latency",
+        "latency added to calling the engine directly, memory and idle processor time",
+        latency::run,
+    ),
+    (
+        "once",
+        "Cost of running at most once, and share of unknown outcomes",
+        |seed| Box::pin(once::run(seed)),
+    ),
+    (
+        "skew",
+        "Skew of expert maps and bytes of weights moved; draws docs/skew.svg",
+        skew::measure,
+    ),
+];
 
 #[tokio::main]
 async fn main() -> ExitCode {
