--- a/crates/once/tests/suite/main.rs
+++ b/crates/once/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod owner_change;
 mod random_walks;
 mod run_records;
+mod sample;
 mod spec;
 mod stream_resume;
 mod whole_answers;
--- a/crates/once/tests/suite/owner_change.rs
+++ b/crates/once/tests/suite/owner_change.rs
@@ -2,7 +2,7 @@
 use tokio::time::{Duration, Instant};
 use wire::Key;
 
-use crate::spec::{document, moving_key, settle};
+use crate::sample::{document, moving_key, settle};
 
 fn key(text: &str) -> Key {
     Key {
--- a/crates/once/tests/suite/run_records.rs
+++ b/crates/once/tests/suite/run_records.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Duration, Instant};
 use wire::{Key, Owner};
 
-use crate::spec::{answer, document};
+use crate::sample::{answer, document};
 
 const LIFE: u64 = 7_000_000_000;
 const ASKED: u64 = 600;
--- a/crates/once/tests/suite/spec.rs
+++ b/crates/once/tests/suite/spec.rs
@@ -11,13 +11,13 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use conf::{Document, Endpoint, Limit, Policy, SCHEMA};
+use conf::Policy;
 use fault::Run;
-use once::{Answer, Bounds, Ledger as _, Records, Reserve, Reserved};
-use smol_str::{SmolStr, format_smolstr};
+use once::{Ledger as _, Records, Reserve, Reserved};
 use tokio::time::Instant;
-use wire::{Head, Key, Owner, Token};
+use wire::{Key, Owner, Token};
+
+use crate::sample::{ENDPOINTS, answer, document, moving_key};
 
 /// Rule that a specification leaves out, to see that its loss is found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -142,7 +142,6 @@
 
 /// Number of the first life; that of each next one is larger by this.
 const LIFE: u64 = 1000;
-const ENDPOINTS: [&str; 2] = ["a", "b"];
 
 impl Spec {
     pub(crate) fn new(seeded: Seeded, own: bool) -> Self {
@@ -450,59 +449,3 @@
         self.runs
     }
 }
-
-pub(crate) fn answer() -> Answer {
-    Answer {
-        head: Head {
-            request: "r".into(),
-            attempt: 1,
-            status: 200,
-            headers: Vec::new(),
-        },
-        body: Bytes::from_static(b"done"),
-    }
-}
-
-/// Returns a configuration of one endpoint, or of two of which the second owns the key.
-pub(crate) fn document(changed: bool) -> Document {
-    let endpoint = Endpoint {
-        zone: "z".into(),
-        service: "s".into(),
-        agent: ([127, 0, 0, 1], 1).into(),
-        group: None,
-        ranks: Vec::new(),
-        leaving: false,
-        limit: Limit { cold: 1, full: 1 },
-    };
-    let names = &ENDPOINTS[..if changed { 2 } else { 1 }];
-    Document {
-        schema: SCHEMA,
-        zones: [].into(),
-        services: [].into(),
-        groups: [].into(),
-        endpoints: names
-            .iter()
-            .map(|name| ((*name).into(), endpoint.clone()))
-            .collect(),
-        teams: [].into(),
-        policy: Policy::default(),
-    }
-}
-
-/// Returns a caller's own key of team `t` that the second endpoint owns.
-pub(crate) fn moving_key() -> SmolStr {
-    let key = |n: u32| Key {
-        team: "t".into(),
-        text: format_smolstr!("{n}"),
-        owner: None,
-    };
-    let names = ENDPOINTS.map(SmolStr::new_static);
-    let mut keys = (0..).map(key);
-    let found = keys.find(|key| once::owner(&names, key) == Some(&names[1]));
-    found.unwrap().text
-}
-
-/// Returns the time after which a new owner takes callers' own keys.
-pub(crate) fn settle() -> Duration {
-    Bounds::from(&Policy::default()).settle()
-}
--- a/crates/once/tests/suite/stream_resume.rs
+++ b/crates/once/tests/suite/stream_resume.rs
@@ -2,7 +2,7 @@
 use once::{Feed, Pull};
 use wire::Seal;
 
-use crate::spec::answer;
+use crate::sample::answer;
 
 const PIECE: usize = 64 * 1024;
 
