--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -27,6 +27,7 @@
     pub(crate) recorder: Recorder,
     pub(crate) request: Request,
     pub(crate) repeatable: bool,
+    pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
 }
 
@@ -73,12 +74,24 @@
         self.recorder.record(Some(&self.request), kind);
     }
 
+    /// Measures the time since the arrival of the request or the last piece of its answer.
+    fn time_piece(&self, last: &mut Option<Instant>) {
+        let now = Instant::now();
+        let (since, histogram) = match last {
+            Some(last) => (*last, &self.metrics.token_gap),
+            None => (self.arrived, &self.metrics.first_token),
+        };
+        histogram.observe(now.saturating_duration_since(since).as_secs_f64());
+        *last = Some(now);
+    }
+
     async fn pieces(
         &self,
         stream: &mut Stream,
         choice: &Choice,
         sender: &Sender<io::Result<Bytes>>,
     ) -> End {
+        let mut last = None;
         loop {
             let piece = tokio::select! {
                 piece = time::timeout_at(self.deadline, stream.next()) => piece,
@@ -86,6 +99,7 @@
             };
             match piece {
                 Ok(Ok(Piece::Data(data))) => {
+                    self.time_piece(&mut last);
                     choice.tell(Event::Progress {
                         request: self.request.clone(),
                         attempt: stream.attempt(),
--- a/crates/scene/src/parts.rs
+++ b/crates/scene/src/parts.rs
@@ -11,30 +11,28 @@
 /// without the rule that it proves.
 pub struct Parts {
     /// Makes the routing policy of an entry in a zone.
-    pub route: fn(&id::Zone, u64, Instant) -> Box<dyn Route>,
+    pub route: fn(&id::Zone, id::Incarnation, Instant) -> Box<dyn Route>,
     /// Makes the admission policy of an endpoint.
     pub gate: fn(&id::Endpoint, id::Incarnation, Instant) -> Box<dyn Gate>,
-    /// Makes the run records of an agent that starts at an instant.
+    /// Makes the run records of an agent.
     pub ledger: fn(&id::Endpoint, id::Incarnation, Instant) -> Box<dyn Ledger>,
-    /// Names the endpoint that owns a key.
+    /// Names the endpoint that owns a caller's own key.
     pub owner: fn(&Document, &id::Service, &Key) -> Option<id::Endpoint>,
 }
 
 impl Default for Parts {
     fn default() -> Self {
         Self {
-            route: |zone, seed, now| Box::new(route::Router::new(zone.clone(), seed, now)),
-            gate: |endpoint, incarnation, now| {
-                Box::new(gate::Guard::new(endpoint.clone(), incarnation, now))
-            },
-            ledger: |endpoint, life, born| {
-                Box::new(once::Records::new(endpoint.clone(), life, born))
-            },
-            owner: |document, service, key| {
-                let endpoints = document.endpoints.iter();
-                let same = endpoints.filter(|(_, e)| e.service == *service);
-                once::owner(same.map(|(name, _)| name), key).cloned()
-            },
+            route: |zone, life, now| Box::new(route::Router::new(zone.clone(), life, now)),
+            gate: |endpoint, life, now| Box::new(gate::Guard::new(endpoint.clone(), life, now)),
+            ledger: |endpoint, life, now| Box::new(once::Records::new(endpoint.clone(), life, now)),
+            owner,
         }
     }
 }
+
+fn owner(document: &Document, service: &id::Service, key: &Key) -> Option<id::Endpoint> {
+    let serves = |(_, endpoint): &(_, &conf::Endpoint)| endpoint.service == *service;
+    let names = document.endpoints.iter().filter(serves);
+    once::owner(names.map(|(name, _)| name), key).cloned()
+}
