--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -77,6 +77,8 @@
     headers: Vec<Header>,
     first: Bytes,
     rest: Option<Incoming>,
+    /// Whether `first` is the whole body, so that another attempt can send it again.
+    whole: bool,
     hashes: Vec<u64>,
 }
 
@@ -143,6 +145,7 @@
         Ok(Self {
             hashes: prefix.hashes(),
             first: prefix.bytes,
+            whole: prefix.rest.is_none(),
             rest: prefix.rest,
             path: parts
                 .uri
@@ -174,7 +177,7 @@
             match action {
                 Action::GiveUp { fault, .. } => return Err(self.refusal(fault)),
                 Action::Abandon { .. } => {}
-                Action::Offer { .. } if self.may_have_run && !self.route.repeatable => {
+                Action::Offer { .. } if !self.may_try() => {
                     return Err(self.refusal(ErrorKind::Interrupted.into()));
                 }
                 Action::Offer {
@@ -185,7 +188,10 @@
                     };
                     let started = tokio::select! {
                         started = self.start(admitted, &endpoint) => started,
-                        () = choice.abandoned(attempt) => continue,
+                        () = choice.abandoned(attempt) => {
+                            self.may_have_run = true;
+                            continue;
+                        }
                     };
                     match started {
                         Ok(started) => return Ok(self.deliver(started, choice)),
@@ -196,6 +202,17 @@
         }
     }
 
+    /// Returns whether another attempt can send the whole body and may be run.
+    fn may_try(&self) -> bool {
+        let repeatable = self.route.repeatable || !self.may_have_run;
+        repeatable && self.replayable()
+    }
+
+    /// Returns whether no part of the body has been passed on for good.
+    fn replayable(&self) -> bool {
+        self.whole || self.rest.is_some()
+    }
+
     fn ask(&self) -> Ask {
         Ask {
             request: self.request.clone(),
@@ -276,7 +293,7 @@
                 request,
                 attempt,
                 fault,
-                replayable: true,
+                replayable: self.replayable(),
             };
         }
         Event::Refused {
@@ -357,7 +374,7 @@
 
     fn broken(&mut self, choice: &Choice, attempt: Attempt, fault: Fault) {
         self.may_have_run |= fault.run() == Run::Unknown;
-        let replayable = self.rest.is_none() && fault.run() == Run::Unknown;
+        let replayable = self.replayable() && fault.run() == Run::Unknown;
         choice.tell(Event::Broken {
             request: self.request.clone(),
             attempt,
--- a/crates/fake/tests/suite/whole_answers.rs
+++ b/crates/fake/tests/suite/whole_answers.rs
@@ -71,3 +71,39 @@
     let answer = call.await.unwrap().unwrap();
     assert_eq!(answer.text(), draft("p", 1200), "{:?}", answer.status);
 }
+
+/// Returns the name of the endpoint whose service has run something.
+async fn busy(fleet: &Fleet) -> &'static str {
+    loop {
+        for name in ["orders-a-0", "orders-a-1"] {
+            let service = fleet.stands[name].line().parse().unwrap();
+            let caller = Caller::new("", false);
+            let counts = caller.send("GET", service, "/counts", &[], "").await;
+            if counts.unwrap().json() != serde_json::json!({}) {
+                return name;
+            }
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn long_body() {
+    let plan = Plan {
+        services: 2,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan).await.unwrap();
+    let entry = fleet.callers("entry-a-0").unwrap();
+    let caller = Caller::new(KEY, false);
+    let body = "x".repeat(200 * 1024);
+    let call = tokio::spawn(async move {
+        let path = "/v1/lookups/1?pause_ms=3000";
+        caller.send("GET", entry, path, &[], body).await
+    });
+    let name = busy(&fleet).await;
+    fleet.agents[name].signal(Signal::Kill).unwrap();
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(answer.status, 502, "part of the body was sent as the whole");
+    assert_eq!(answer.json()["run"], "unknown");
+}
