--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,6 +1,6 @@
 use fault::Fault;
 use once::Usage;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 use wire::Hint;
 
 /// Metrics of an agent.
@@ -17,6 +17,8 @@
     pub(crate) records: IntGauge,
     /// Bytes of answers stored with them.
     pub(crate) record_bytes: IntGauge,
+    /// Time that an offer waits for its verdict, in seconds.
+    pub(crate) queue_time: Histogram,
     limit: IntGauge,
     queued: IntGauge,
 }
@@ -28,6 +30,11 @@
             "apricot_agent_refusals_total",
             "Attempts refused, by error kind",
         );
+        let queue_time = HistogramOpts::new(
+            "apricot_agent_queue_seconds",
+            "Time that an attempt waits until it is admitted or refused",
+        )
+        .buckets(prometheus::exponential_buckets(0.001, 2.0, 12)?);
         let metrics = Self {
             refusals: IntCounterVec::new(refusals, &["kind"])?,
             runs: IntCounter::new("apricot_agent_runs_total", "Attempts started at the engine")?,
@@ -41,6 +48,7 @@
                 "apricot_agent_record_bytes",
                 "Bytes of answers stored with run records",
             )?,
+            queue_time: Histogram::with_opts(queue_time)?,
             limit: IntGauge::new(
                 "apricot_agent_limit",
                 "Attempts in flight that are allowed now",
@@ -53,6 +61,7 @@
         registry.register(Box::new(metrics.strays.clone()))?;
         registry.register(Box::new(metrics.records.clone()))?;
         registry.register(Box::new(metrics.record_bytes.clone()))?;
+        registry.register(Box::new(metrics.queue_time.clone()))?;
         registry.register(Box::new(metrics.limit.clone()))?;
         registry.register(Box::new(metrics.queued.clone()))?;
         Ok(metrics)
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -97,10 +97,13 @@
             Reservation::Held(hold) => Some(hold),
             Reservation::None => None,
         };
+        let asked = Instant::now();
         let slot = tokio::select! {
             slot = self.gatekeeper.admit(ask(&offer, deadline)) => slot,
             _ = receiver.receive() => return Ok(()),
         };
+        let waited = asked.elapsed().as_secs_f64();
+        self.metrics.queue_time.observe(waited);
         let slot = match slot {
             Ok(slot) => slot,
             Err(fault) => {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -69,6 +69,8 @@
     sent: Option<SmolStr>,
     /// Whether an earlier attempt may have been run.
     may_have_run: bool,
+    /// What the agent said last that owns the caller's key.
+    owner_said: Option<ErrorKind>,
     deadline: Instant,
     method: SmolStr,
     path: SmolStr,
@@ -157,6 +159,7 @@
             sent: repeat.text().cloned(),
             repeat,
             may_have_run: false,
+            owner_said: None,
             deadline,
         })
     }
@@ -238,7 +241,11 @@
                     Some(admitted),
                 )
             }
-            Err(refused) => (self.refused(attempt, refused.fault), refused.hint, None),
+            Err(refused) => {
+                let answered = refused.hint.is_some();
+                self.owner_said = answered.then(|| refused.fault.kind());
+                (self.refused(attempt, refused.fault), refused.hint, None)
+            }
         };
         if let Some(hint) = hint {
             choice.tell(Event::Hint {
@@ -360,8 +367,12 @@
     }
 
     /// Makes the final refusal; it says `run: no` only if no attempt can have been run.
+    ///
+    /// An earlier send of the caller's key may have been run, which only the key's owner can know.
     fn refusal(&self, fault: Fault) -> Refusal {
-        let fault = if self.may_have_run {
+        let own_key = matches!(self.repeat, Repeat::Once { .. });
+        let unsure = own_key && self.owner_said != Some(fault.kind());
+        let fault = if self.may_have_run || unsure {
             fault.run_unknown()
         } else {
             fault
@@ -375,6 +386,10 @@
         let (mut response, sender) = deliver::respond(&started.head, &self.request);
         deliver::name_key(&mut response, self.sent.as_ref());
         let pump = Pump {
+            arrived: self
+                .deadline
+                .checked_sub(self.document.policy.deadline)
+                .unwrap_or(self.deadline),
             metrics: self.context.metrics,
             recorder: self.context.recorder,
             request: self.request,
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -19,7 +19,7 @@
 pub use engine::{Behaviour, Engine, draft};
 pub use fleet::{Fleet, KEY, Plan};
 pub use group::Group;
-pub use platform::{Mode, Platform, publish};
+pub use platform::{Mode, Platform, publish, publish_text};
 pub use process::{Process, Signal, Usage, build, program};
 pub use ranks::{Part, Ranks};
 pub use relay::{Flow, Relay};
--- /dev/null
+++ b/crates/measure/src/slopes/memory/ledger.rs
@@ -0,0 +1,56 @@
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use once::{Answer, Ledger, Records, Reserve, Reserved};
+use smol_str::format_smolstr;
+use tokio::time::Instant;
+use wire::{Head, Key, Owner};
+
+use super::document as sized;
+
+/// Returns run records that hold so many finished runs.
+pub(crate) fn filled(count: usize) -> anyhow::Result<Records> {
+    let now = Instant::now();
+    let incarnation = 1;
+    let mut ledger = Records::new("orders-a-0".into(), incarnation, now);
+    ledger.adopt(&document(count), now);
+    let owner = Owner {
+        incarnation,
+        expires: 300,
+    };
+    for number in 0..count {
+        let key = Key {
+            team: "team-1".into(),
+            text: format_smolstr!("caller-key-of-ordinary-length-{number}"),
+            owner: Some(owner),
+        };
+        let request = format_smolstr!("{number:032x}");
+        let reserve = Reserve {
+            key: key.clone(),
+            request: request.clone(),
+            attempt: 1,
+            fingerprint: 7,
+            deadline: now + Duration::from_secs(60),
+        };
+        let Reserved::Token(token) = ledger.reserve(reserve, now) else {
+            anyhow::bail!("key {number} was refused");
+        };
+        ledger.start(&key, token, now)?;
+        let head = Head {
+            request,
+            attempt: 1,
+            status: 200,
+            headers: Vec::new(),
+        };
+        let body = Bytes::from(vec![0; 200]);
+        ledger.finish(&key, Some(Arc::new(Answer { head, body })), now);
+    }
+    Ok(ledger)
+}
+
+/// Returns a document that allows so many records.
+fn document(records: usize) -> conf::Document {
+    let mut document = sized(1, 1);
+    document.policy.records = u32::try_from(records).unwrap_or(u32::MAX);
+    document
+}
--- a/crates/scene/src/lib.rs
+++ b/crates/scene/src/lib.rs
@@ -4,10 +4,13 @@
 //! in-memory fakes of links, engines and the platform; the decisions are those of the crates
 //! `route`, `gate`, `once` and `conf`. The same script gives the same time line, byte for byte.
 
+mod act;
 mod agent;
 mod check;
 mod entry;
 mod grammar;
+mod link;
+mod machine;
 mod parse;
 mod parts;
 mod script;
--- a/crates/scene/src/script.rs
+++ b/crates/scene/src/script.rs
@@ -34,6 +34,15 @@
 pub enum Act {
     /// Callers send requests.
     Send(Send),
+    /// An entry issues a key, for sends that name it.
+    Key {
+        /// Name of the key.
+        key: SmolStr,
+        /// Service that it is for.
+        service: SmolStr,
+        /// The entry.
+        entry: SmolStr,
+    },
     /// A process ends at once.
     Kill(SmolStr),
     /// A process starts with nothing but its settings.
@@ -89,7 +98,7 @@
     pub entries: Vec<SmolStr>,
     /// Team of the callers.
     pub team: SmolStr,
-    /// Idempotency key; each request has its own if absent.
+    /// Idempotency key: an issued one if an entry issued it before, else the caller's own.
     pub key: Option<SmolStr>,
     /// Time between two requests.
     pub every: Duration,
