--- a/crates/measure/src/slopes.rs
+++ b/crates/measure/src/slopes.rs
@@ -12,6 +12,7 @@
         println!("seed {seed}; each line: slope, value at zero, worst distance from the line");
         memory::events()?;
         memory::documents()?;
+        memory::changes()?;
         memory::records()?;
         memory::keys();
         links::outgoing().await?;
--- a/crates/measure/src/slopes/memory.rs
+++ b/crates/measure/src/slopes/memory.rs
@@ -12,6 +12,8 @@
 
 /// Copies of a document that are held to weigh one.
 const COPIES: usize = 8;
+/// Changes that are folded one after the other.
+const CHANGES: u64 = 20;
 
 /// Time and memory of one event.
 pub(crate) fn events() -> anyhow::Result<()> {
@@ -57,6 +59,33 @@
     Ok(())
 }
 
+/// Time to fold one change of an endpoint, by the endpoints of the document.
+pub(crate) fn changes() -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for endpoints in [100, 1000, 5800] {
+        let mut fold = fold(&record(&document(1700, endpoints))?).1;
+        let start = Instant::now();
+        for base in 1..=CHANGES {
+            let leaving = base % 2 == 1;
+            let patch =
+                serde_json::json!({ "endpoints": { "endpoint-0": { "leaving": leaving } } });
+            let change = serde_json::json!({ "base": base, "patch": patch });
+            let _ = fold.apply(&change.to_string());
+        }
+        anyhow::ensure!(
+            fold.version().number == CHANGES + 1,
+            "a change is not accepted"
+        );
+        points.push((endpoints as f64, micros(start.elapsed()) / CHANGES as f64));
+    }
+    print(
+        "change beside 1,700 teams, fold",
+        "µs for each endpoint",
+        &points,
+    );
+    Ok(())
+}
+
 fn sizes(what: &str, sizes: &[usize], make: impl Fn(usize) -> Document) -> anyhow::Result<()> {
     let (mut bytes, mut times, mut memory) = (Vec::new(), Vec::new(), Vec::new());
     let mut kept = Vec::new();
