Give both roles one base to start from

Ruled out: a macro, and a trait with default methods, both of which hide the order of the start. Change: `node::Base` binds, holds the shared parts and starts them; a role adds its `Ports`. No behaviour changes. Conclusion: what each role adds can now be read in one screen.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -2,16 +2,13 @@
 
 use anyhow::Context as _;
 use conf::Settings;
-use event::Recorder;
-use node::{Callee, Follow, Links, Operator, Overlay, Own, Ready, Shutdown, Watch};
-use peer::Members;
-use prometheus::Registry;
+use node::{Base, Links, Own, Ports, Shutdown, Watch};
 use route::{Event, Router};
 use tokio::{
     net::TcpListener,
     time::{self, Instant},
 };
-use wire::{Listener, Member, Role, Tls};
+use wire::Role;
 
 use crate::{call::Context, choose::Chooser, fleet::Fleet, metrics::Metrics, server};
 
@@ -28,94 +25,49 @@
         .listen
         .callers
         .context("field `listen.callers`: an entry needs it; add an address")?;
-    let tls = Tls::load(&settings.identity)?;
     let callers = TcpListener::bind(address)
         .await
         .with_context(|| format!("field `listen.callers`: {address}"))?;
-    let operators = TcpListener::bind(settings.listen.operators)
-        .await
-        .context("field `listen.operators`")?;
-    let listener = Listener::bind(settings.listen.peers, &tls).context("field `listen.peers`")?;
-    let ready = Ready {
-        callers: Some(callers.local_addr()?),
-        peers: listener.address()?,
-        operators: operators.local_addr()?,
-    };
-    let recorder = Recorder::new(settings.name.clone());
-    let follow = Follow::new(recorder.clone());
-    let shutdown = node::shutdown()?;
-    let registry = Registry::new();
-    let incarnation = node::incarnation();
-    let router = Router::new(settings.zone.clone(), incarnation, Instant::now());
+    let listening = callers.local_addr()?;
+    let base = Base::bind(settings, Role::Entry).await?;
+    let router = Router::new(
+        base.member.zone.clone(),
+        base.member.incarnation,
+        Instant::now(),
+    );
     let chooser = Chooser::new(Box::new(router));
-    let members = Arc::new(Members::default());
     let fleet = Fleet::new(
-        settings.name.clone(),
+        base.member.process.clone(),
         chooser.clone(),
-        recorder.clone(),
-        members.clone(),
-    );
-    let member = Member {
-        process: settings.name.clone(),
-        incarnation,
-        role: Role::Entry,
-        zone: settings.zone.clone(),
-        address: ready.peers,
-        leaving: false,
-    };
-    follow.take_turns(&member);
-    follow.register(&registry)?;
-    let own =
-        Own::new(member, follow.clone(), recorder.clone()).suspicions(Arc::new(chooser.clone()));
-    let overlay = Overlay::new(
-        own.clone(),
-        follow.clone(),
-        members.clone(),
-        settings.peers.clone(),
-    );
-    let links = Links::new(
-        tls.clone(),
-        own.clone(),
-        follow.clone(),
-        fleet.clone(),
-        settings.heartbeat,
+        base.recorder.clone(),
+        base.members.clone(),
     );
+    let own = base.own().suspicions(Arc::new(chooser.clone()));
+    let links = base.links(&own, fleet.clone());
     let context = Context {
-        follow: follow.clone(),
+        follow: base.follow.clone(),
         links: links.clone(),
         fleet: fleet.clone(),
-        zone: settings.zone.clone(),
+        zone: base.member.zone.clone(),
         chooser: chooser.clone(),
-        recorder: recorder.clone(),
-        metrics: Metrics::register(&registry)?,
-        shutdown: shutdown.clone(),
+        recorder: base.recorder.clone(),
+        metrics: Metrics::register(&base.registry)?,
+        shutdown: base.shutdown.clone(),
     };
-    let callee = Arc::new(Callee::new(
-        own.clone(),
-        follow.clone(),
-        recorder.clone(),
-        members,
+    let shutdown = base.shutdown.clone();
+    tokio::spawn(adopt(
+        base.follow.watch(),
+        links,
+        fleet.clone(),
+        chooser.clone(),
     ));
-    let parts = {
-        let fleet = fleet.clone();
-        Arc::new(move || serde_json::json!({ "role": "entry", "endpoints": fleet.hints() }))
+    tokio::spawn(tick(chooser, fleet.clone()));
+    let ports = Ports {
+        orders: None,
+        work: None,
+        parts: Arc::new(move || serde_json::json!({ "role": "entry", "endpoints": fleet.hints() })),
     };
-    let operator = Operator::new(
-        settings.name,
-        follow.clone(),
-        recorder,
-        registry,
-        shutdown.clone(),
-        parts,
-    );
-    let has_peers = !settings.peers.is_empty();
-    tokio::spawn(follow.clone().run(settings.platform, has_peers));
-    tokio::spawn(overlay.run(tls, settings.heartbeat));
-    tokio::spawn(adopt(follow.watch(), links, fleet.clone(), chooser.clone()));
-    tokio::spawn(tick(chooser, fleet));
-    tokio::spawn(node::serve(listener, callee, None));
-    tokio::spawn(operator.run(operators));
-    ready.print();
+    base.start(&own, ports, Some(listening))?;
     tokio::spawn(leave(shutdown.clone(), own));
     server::serve(callers, context).await;
     shutdown.drained().await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! What every process of the system has: links, configuration, health, and an orderly end.
 
+mod base;
 mod counts;
 mod current;
 mod follow;
@@ -12,12 +13,13 @@
 mod setup;
 mod signal;
 
+pub use base::{Base, Ports};
 pub use current::{Current, Watch};
 pub use follow::Follow;
 pub use link::{Links, Observer};
-pub use listen::{Callee, Orders, Work, serve};
+pub use listen::{Callee, Orders, Work};
 pub use member::{Own, Suspicions, incarnation};
-pub use operator::{Operator, Status};
+pub use operator::{Operator, Parts, Status};
 pub use overlay::Overlay;
 pub use setup::{Command, Ready, command, fail, settings, start};
 pub use signal::{Shutdown, shutdown};
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -94,7 +94,11 @@
 }
 
 /// Accepts links and serves the streams on them, until the listener is closed.
-pub async fn serve(listener: Listener, callee: Arc<dyn wire::Callee>, work: Option<Arc<dyn Work>>) {
+pub(crate) async fn serve(
+    listener: Listener,
+    callee: Arc<dyn wire::Callee>,
+    work: Option<Arc<dyn Work>>,
+) {
     while let Some(link) = listener.accept().await {
         tokio::spawn(serve_link(link, callee.clone(), work.clone()));
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -38,7 +38,7 @@
 }
 
 /// Gives the parts of a status that a role adds.
-type Parts = Arc<dyn Fn() -> serde_json::Value + Send + Sync>;
+pub type Parts = Arc<dyn Fn() -> serde_json::Value + Send + Sync>;
 
 /// Answers operators: health, metrics, status and events.
 #[derive(Clone)]
