Link an entry to as many endpoints abroad as at home

Cause: an entry kept 32 endpoints of each large service in each zone; at full size, 9 zones and 9 services, that is 2,592 links, which docs/CAPACITY.md names as its first broken bound. Ruled out: fewer at home, where prefix caches need a choice; none abroad, since an entry whose zone is out must spill at once. Change: the 32 at home stay, and all other zones together have 32. Before: 2,592 links by formula; after: 9 x (32 + 8 x 4) = 576, by the same formula.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -24,12 +24,15 @@
     members: Arc<Members>,
     /// Name of the own process, which picks its part of large services.
     name: id::Process,
+    /// Own availability zone.
+    zone: id::Zone,
 }
 
 impl Fleet {
     /// Creates an empty fleet.
     pub(crate) fn new(
         name: id::Process,
+        zone: id::Zone,
         chooser: Chooser,
         recorder: Recorder,
         members: Arc<Members>,
@@ -41,6 +44,7 @@
             hints: Mutex::default(),
             members,
             name,
+            zone,
         })
     }
 
@@ -50,7 +54,7 @@
             return Vec::new();
         };
         let old = std::mem::take(&mut *endpoints);
-        let chosen = route::subset(document, &self.name);
+        let chosen = route::subset(document, &self.name, &self.zone);
         let linked = document.endpoints.iter();
         for (name, endpoint) in linked.filter(|(name, _)| chosen.contains(name)) {
             let up = old
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -38,6 +38,7 @@
     let chooser = Chooser::new(Box::new(router));
     let fleet = Fleet::new(
         base.member.process.clone(),
+        base.member.zone.clone(),
         chooser.clone(),
         base.recorder.clone(),
         base.members.clone(),
