Give a stored answer again without a race, and let only the owner deny a run

(2) An owner's own word after the start was not taken as its word. (3) A run over an idle connection that broke just then cannot be told from one that was read. (4) While a stored answer was given again the agent stopped reading, so the entry's start of the run failed now and then and the caller got 502 `interrupted`. Ruled out for (4): a lost record (the service ran once, and a later ask got the answer); the killed entry of the test. Before: many_replays failed at its second ask.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -31,7 +31,8 @@
 #[derive(Clone)]
 pub(crate) struct Engine {
     address: SocketAddr,
-    client: Client<HttpConnector, Body>,
+    pooled: Client<HttpConnector, Body>,
+    fresh: Client<HttpConnector, Body>,
 }
 
 /// What an engine says about itself; a plain service may leave all of it out.
@@ -52,19 +53,33 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(PROBE));
-        let client = Client::builder(TokioExecutor::new())
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE)
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { address, client }
+            .retry_canceled_requests(false);
+        Self {
+            address,
+            pooled: builder.build(connector.clone()),
+            fresh: builder.pool_max_idle_per_host(0).build(connector),
+        }
+    }
+
+    /// Returns the client for an attempt. One that may not be repeated gets a connection of its own:
+    /// if an idle one broke just now, nobody could tell whether the endpoint had read the request.
+    fn client(&self, offer: &Offer) -> &Client<HttpConnector, Body> {
+        if offer.key.is_some() {
+            &self.fresh
+        } else {
+            &self.pooled
+        }
     }
 
     /// Asks for the state.
     pub(crate) async fn health(&self) -> anyhow::Result<Health> {
         let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
         let request = Request::get(format!("http://{}/health", self.address)).body(body)?;
-        let response = time::timeout(PROBE, self.client.request(request)).await??;
+        let response = time::timeout(PROBE, self.pooled.request(request)).await??;
         anyhow::ensure!(
             response.status().is_success(),
             "status {}",
@@ -91,7 +106,7 @@
         let request = self
             .request(offer, body)
             .ok_or(Fault::new(ErrorKind::Malformed))?;
-        let response = self.client.request(request).await.map_err(|e| {
+        let response = self.client(offer).request(request).await.map_err(|e| {
             log::info!("request {}: the engine gave no answer: {e}", offer.request);
             if e.is_connect() {
                 return Fault::new(ErrorKind::NoEndpoint).retry_after(COME_BACK);
--- a/crates/agent/src/outlet.rs
+++ b/crates/agent/src/outlet.rs
@@ -15,7 +15,7 @@
 /// Time for which a run waits for its entry to come back over a new link.
 const GRACE: Duration = Duration::from_secs(5);
 /// Time in which the other side must acknowledge the last bytes of an answer.
-const FLUSH: Duration = Duration::from_secs(10);
+pub(crate) const FLUSH: Duration = Duration::from_secs(10);
 
 type Target = (Request, Attempt);
 
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -8,7 +8,11 @@
 use gate::Ask;
 use node::{Shutdown, Work};
 use once::{Answer, Delivery};
-use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
+use tokio::{
+    sync::mpsc,
+    task::JoinHandle,
+    time::{self, Instant},
+};
 use wire::{CHUNK, Frame, Head, Offer, Receiver, Reply, Sender, Token, Verdict};
 
 use crate::{
@@ -92,7 +96,8 @@
         let mut hold = match reservation {
             Reservation::Replay(answer) => {
                 self.admit(&mut sender, Some(Token::default())).await?;
-                return replay(&mut sender, &offer, &answer).await;
+                let rest = drain(receiver);
+                return tokio::join!(replay(&mut sender, &offer, &answer), rest).0;
             }
             Reservation::Held(hold) => Some(hold),
             Reservation::None => None,
@@ -285,6 +290,13 @@
     }
 }
 
+/// Reads and drops what the entry still sends. If its side were stopped, the entry would take the
+/// start of a run that needs none for broken.
+async fn drain(mut receiver: Receiver<Frame>) {
+    let rest = async { while let Ok(Some(_)) = receiver.receive().await {} };
+    let _ = time::timeout(outlet::FLUSH, rest).await;
+}
+
 /// Sends a stored answer again, under the ids of the attempt that asked.
 async fn replay(sender: &mut Sender<Reply>, offer: &Offer, answer: &Answer) -> io::Result<()> {
     let (request, attempt) = (offer.request.clone(), offer.attempt);
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -374,6 +374,10 @@
 
     fn broken(&mut self, choice: &Choice, attempt: Attempt, fault: Fault) {
         self.may_have_run |= fault.run() == Run::Unknown;
+        if fault.run() == Run::No {
+            // A reservation was made, so that no earlier send of the key can have been run either.
+            self.owner_said = Some(fault.kind());
+        }
         let replayable = self.replayable() && fault.run() == Run::Unknown;
         choice.tell(Event::Broken {
             request: self.request.clone(),
