--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -20,7 +20,7 @@
 /// Silence after which a link counts as lost.
 const IDLE: Duration = Duration::from_millis(1500);
 /// Time between probes on an idle link.
-const PROBE: Duration = Duration::from_millis(400);
+const PROBE: Duration = Duration::from_millis(700);
 /// Streams that one peer may have open.
 const STREAMS: u32 = 4096;
 
