Stop using an endpoint in time whose removal may be a lapse

Ruled out: late news (learned after 5 ms). Change: such an endpoint is used for 1.3 s, judged at each choice. Also: watches pause 200 ms after changes, refusals of a service that is down name the last third of the time left, a stalled group is asked again after 300 ms.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -34,8 +34,11 @@
 const TRIES: usize = 5;
 /// Largest body of a plain answer, in bytes; larger ones are passed on without being kept.
 const WHOLE: usize = 1 << 20;
-/// Time for which a group whose rank is lost is not asked again, beyond its time to form.
-const STALL: Duration = Duration::from_millis(700);
+/// Time for which a group whose rank is lost is not asked again; it declines at once, so that asking
+/// often costs little and its return is noticed soon.
+const STALL: Duration = Duration::from_millis(300);
+/// Time after which callers come back to an entry that knows no configuration yet.
+const NOT_READY: Duration = Duration::from_millis(700);
 /// Least time that a repeat needs to be worth sending.
 const WORTH_REPEATING: Duration = Duration::from_millis(60);
 /// Headers that concern one connection only.
@@ -251,7 +254,8 @@
         } else {
             ErrorKind::NoEndpoint
         };
-        failure.ok_or_else(|| self.give_up(Fault::new(kind).retry_after(STALL)))
+        let wait = self.left() / 3;
+        failure.ok_or_else(|| self.give_up(Fault::new(kind).retry_after(wait)))
     }
 
     /// Returns whether another endpoint may get the request.
@@ -267,6 +271,7 @@
             fingerprint: self.fingerprint,
             avoid: &self.had,
             again: !self.had.is_empty(),
+            left: self.left(),
         };
         let view = self.context.view.borrow().clone();
         let now = Instant::now();
@@ -371,9 +376,8 @@
     ) -> Step {
         self.note(&flight, "declined", head.status.as_str());
         if let Some(at_fault) = &answer.at_fault {
-            let span = self.form_time() + STALL;
-            log::warn!(request:% = self.ask.id, service:% = self.service, at_fault:% = at_fault, span_ms = millis(span); "group is stalled");
-            self.context.decide(|desk| desk.stalled(&self.service, span, Instant::now()));
+            log::warn!(request:% = self.ask.id, service:% = self.service, at_fault:% = at_fault; "group is stalled");
+            self.context.decide(|desk| desk.stalled(&self.service, STALL, Instant::now()));
         }
         let keep_alive = outlet::keep_alive(&head.headers);
         if Limited::new(body, WHOLE).collect().await.is_ok() {
@@ -480,12 +484,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn form_time(&self) -> Duration {
-        let view = self.context.view.borrow();
-        let service = view.configuration.as_ref().and_then(|c| c.services.get(&self.service));
-        service.and_then(|s| s.engine.as_ref()).map_or(Duration::ZERO, |e| e.form)
-    }
-
     fn request(&self, placement: &Placement) -> Request<Full<Bytes>> {
         let offer = Offer {
             endpoint: &placement.endpoint,
@@ -615,6 +613,7 @@
                 fingerprint: self.fingerprint,
                 avoid: &self.had,
                 again: true,
+                left,
             };
             let view = self.context.view.borrow().clone();
             let choice = self.context.decide(|desk| desk.choose(&view, &send, Instant::now()));
@@ -679,7 +678,7 @@
     let view = context.view.borrow();
     view.configuration
         .clone()
-        .ok_or_else(|| Fault::new(ErrorKind::NotReady).retry_after(STALL))
+        .ok_or_else(|| Fault::new(ErrorKind::NotReady).retry_after(NOT_READY))
 }
 
 /// Reads a request's body.
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -27,6 +27,11 @@
 ///
 /// A draft ends within the span on average, so that a place is free then.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(2200));
+/// Part of the time left at which callers of a service that is down come back.
+///
+/// Callers come back once, and wait for a third of what they have left at most: the later, the
+/// likelier the service is back.
+const LAST_CALL: (f64, f64) = (0.26, 0.33);
 
 /// One request that needs an endpoint.
 #[derive(Clone, Debug)]
@@ -41,6 +46,8 @@
     pub avoid: &'a [id::Endpoint],
     /// Whether an endpoint got it before.
     pub again: bool,
+    /// Time that the caller still waits.
+    pub left: Duration,
 }
 
 /// Endpoint that a request goes to.
@@ -126,18 +133,15 @@
         if !self.suspects.allows(send.fingerprint, now) {
             return Err(ErrorKind::Suspect.into());
         }
-        if let Some(until) = self.stalled.get(send.service).filter(|until| **until > now) {
-            let left = until.duration_since(now);
-            let detail = "a rank of the group is lost";
-            return Err(self.refuse(ErrorKind::NoEndpoint, left).detail(detail));
+        if self.stalled.get(send.service).is_some_and(|until| *until > now) {
+            return Err(self.is_down(send).detail("a rank of the group is lost"));
         }
-        let Some((score, mut placement)) = self.best(view, send, now)? else {
-            return Err(self.refuse(ErrorKind::NoEndpoint, Duration::ZERO));
+        let Some(mut placement) = self.best(view, send, now)? else {
+            return Err(self.is_down(send));
         };
-        let _ = score;
         if send.again && !self.budget.again(send.service, self.entries, now) {
             let detail = "the budget for repeats is used up";
-            return Err(self.refuse(ErrorKind::Overloaded, Duration::ZERO).detail(detail));
+            return Err(self.is_full(ErrorKind::Overloaded).detail(detail));
         }
         if !send.again {
             self.budget.first(send.service, now);
@@ -156,12 +160,12 @@
         view: &View,
         send: &Send<'_>,
         now: Instant,
-    ) -> Result<Option<(f64, Placement)>, Fault> {
+    ) -> Result<Option<Placement>, Fault> {
         let service = view.configuration.as_ref().and_then(|c| c.services.get(send.service));
         let engine = service.is_some_and(|s| s.engine.is_some());
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
-        let (mut best, mut kind) = (None, None);
-        for (id, known) in view.open(send.service) {
+        let (mut best, mut kind): (Option<(f64, Placement)>, _) = (None, None);
+        for (id, known) in view.open(send.service, now) {
             if send.avoid.contains(id) || self.health.is_paused(id, now) {
                 continue;
             }
@@ -192,8 +196,8 @@
             }
         }
         match (best, kind) {
-            (None, Some(kind)) => Err(self.refuse(kind, Duration::ZERO)),
-            (best, _) => Ok(best),
+            (None, Some(kind)) => Err(self.is_full(kind)),
+            (best, _) => Ok(best.map(|(_, placement)| placement)),
         }
     }
 
@@ -203,10 +207,16 @@
         far + slow + self.health.failures(id) * FAILING
     }
 
-    /// Makes a refusal that says when to come back, spread over callers.
-    fn refuse(&mut self, kind: ErrorKind, after: Duration) -> Fault {
+    /// Refuses because all endpoints have as much as they bear.
+    fn is_full(&mut self, kind: ErrorKind) -> Fault {
         let wait = self.random.random_range(COME_BACK.0..COME_BACK.1);
-        Fault::new(kind).retry_after(wait.max(after))
+        Fault::new(kind).retry_after(wait)
+    }
+
+    /// Refuses because no endpoint can be used.
+    fn is_down(&mut self, send: &Send<'_>) -> Fault {
+        let part = self.random.random_range(LAST_CALL.0..LAST_CALL.1);
+        Fault::new(ErrorKind::NoEndpoint).retry_after(send.left.mul_f64(part))
     }
 }
 
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -5,13 +5,14 @@
 };
 
 use anyhow::Context as _;
+use conf::id;
 use fleet::{Follow, Source};
 use node::probe;
 use prometheus::Registry;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
-    time,
+    time::{self, Instant},
 };
 
 use crate::{
@@ -97,9 +98,12 @@
             },
         }
         let current = view.borrow_and_update().clone();
-        context.outlet.sweep(|endpoint| {
-            current.endpoints.get(endpoint).is_some_and(|known| current.takes_work(known))
-        });
+        let now = Instant::now();
+        let takes_work = |id: &id::Endpoint| {
+            let known = current.endpoints.get(id);
+            known.is_some_and(|known| current.takes_work(known, now))
+        };
+        context.outlet.sweep(takes_work);
         context.decide(|desk| desk.adopt(&current));
     }
 }
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -13,6 +13,10 @@
 
 /// First and longest pause after a failed call to the store; calls are priced, also refused ones.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+/// Pause after changes, so that those that follow closely come with one call.
+///
+/// A fraction of the smallest bound on taking up a change, two seconds.
+const GATHER: Duration = Duration::from_millis(200);
 /// Time between looks for lapsed endpoints.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -111,7 +115,11 @@
                         log::info!(covered = covered; "store regained");
                     }
                     (listed, pause) = (true, PAUSES.0);
+                    let changed = !page.changes.is_empty();
                     self.take(page, "store");
+                    if changed {
+                        time::sleep(GATHER).await;
+                    }
                 }
                 Err(SourceError::Compacted) => {
                     log::info!(covered = covered; "store dropped its history; listing anew");
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,7 +15,7 @@
 pub use endpoint::{Endpoint, Stage};
 pub use follow::Follow;
 pub use item::{Change, Fact, Item, Page, Revision};
-pub use mirror::{LAPSE_GRACE, Learned, Mirror};
+pub use mirror::{LAPSE_GRACE, Learned, Mirror, RETURN};
 pub use routing::{Configuration, Engine, Limits, Repeat, Route, Service, Split, Team};
 pub use source::{Error as SourceError, Source};
 pub use view::{Known, View};
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -12,10 +12,15 @@
     Change, Configuration, Endpoint, Fact, Item, Page, Revision, Stage, View, view::Known,
 };
 
-/// Time after the store's return in which a live endpoint has registered itself again.
+/// Time after the store's return in which entries that lapsed while it was away come back.
 ///
 /// The platform states two seconds; half a second covers the way of the news.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+pub const RETURN: Duration = Duration::from_millis(2500);
+/// Time for which an endpoint is used after its entry was removed in such a time.
+///
+/// Only this process may have lost the store, so that the removal may be a real leave: the time stays
+/// below the platform's smallest bound on work for an endpoint that has left, two seconds.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1300);
 
 /// Something that a process believes since now, for its log.
 #[derive(Clone, Debug, PartialEq)]
@@ -95,10 +100,8 @@
             covered: self.covered,
             ..View::default()
         };
-        for (id, (known, until)) in &self.lapsed {
-            if *until > now {
-                view.endpoints.insert(id.clone(), known.clone());
-            }
+        for (id, (known, _)) in &self.lapsed {
+            view.endpoints.insert(id.clone(), known.clone());
         }
         for item in self.items.values() {
             match &item.fact {
@@ -124,6 +127,7 @@
         Known {
             endpoint: endpoint.clone(),
             cold_until: self.cold_until.get(id).copied().unwrap_or(now),
+            until: None,
             revision,
         }
     }
@@ -137,10 +141,10 @@
 
 /// # Changes
 impl Mirror {
-    /// Notes that the store failed to answer; removals that come up to [`LAPSE_GRACE`] after its
-    /// last failure may be lapses.
+    /// Notes that the store failed to answer; removals that come up to [`RETURN`] after its last
+    /// failure may be lapses.
     pub fn disturb(&mut self, now: Instant) {
-        self.disturbed_until = Some(now + LAPSE_GRACE);
+        self.disturbed_until = Some(now + RETURN);
     }
 
     /// Takes in a page and returns what changed.
@@ -218,11 +222,13 @@
         match item.fact {
             Fact::Endpoint(id, endpoint) => {
                 let disturbed = self.disturbed_until.filter(|until| *until > now);
-                let known = self.known(&id, &endpoint, item.revision, now);
+                let mut known = self.known(&id, &endpoint, item.revision, now);
                 self.cold_until.remove(&id);
                 match disturbed {
                     Some(_) if endpoint.stage == Stage::Ready => {
-                        self.lapsed.insert(id.clone(), (known, now + LAPSE_GRACE));
+                        let until = now + LAPSE_GRACE;
+                        known.until = Some(until);
+                        self.lapsed.insert(id.clone(), (known, until));
                         learned.push(Learned::Lapsed(id));
                     }
                     _ => learned.push(Learned::Gone(id)),
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -15,6 +15,8 @@
     pub endpoint: Arc<Endpoint>,
     /// Until when it is cold.
     pub cold_until: Instant,
+    /// Until when it is used, if its entry is gone and may come back.
+    pub until: Option<Instant>,
     /// Revision of the announcement.
     pub revision: Revision,
 }
@@ -37,15 +39,18 @@
     pub fn open<'a>(
         &'a self,
         service: &'a str,
+        now: Instant,
     ) -> impl Iterator<Item = (&'a id::Endpoint, &'a Known)> {
         self.endpoints.iter().filter(move |(_, known)| {
-            known.endpoint.service == service && self.takes_work(known)
+            known.endpoint.service == service && self.takes_work(known, now)
         })
     }
 
     /// Returns whether an endpoint may get new work.
     #[must_use]
-    pub fn takes_work(&self, known: &Known) -> bool {
-        known.endpoint.stage == Stage::Ready && !self.zones_out.contains(&known.endpoint.zone)
+    pub fn takes_work(&self, known: &Known, now: Instant) -> bool {
+        let present = known.until.is_none_or(|until| now < until);
+        let ready = known.endpoint.stage == Stage::Ready;
+        present && ready && !self.zones_out.contains(&known.endpoint.zone)
     }
 }
--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
+use conf::unit;
 use expert::{Balancer, Placement, Room};
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 use tokio::time::Instant;
 
 use crate::{
@@ -26,7 +28,9 @@
 const VERSION_SPREAD: Version = 1 << 20;
 
 /// How eagerly a group's map is changed.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Tuning {
     /// Experts that a rank takes on at most in one change, over all sets; bounds the copying time.
     pub copies: usize,
@@ -34,14 +38,29 @@
     pub price: f64,
     /// Skew that a change must save at least.
     pub least_gain: f64,
+    #[serde_as(as = "unit::Span")]
     /// Time in which counts lose weight by a factor of e.
     pub memory: Duration,
     /// Choices in memory, for each set, from which a plan is made.
     pub least_mass: f64,
+    #[serde_as(as = "unit::Span")]
     /// Least time between the end of a switch and the next.
     pub rest: Duration,
 }
 
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            copies: 5,
+            price: 0.003,
+            least_gain: 0.1,
+            memory: Duration::from_millis(500),
+            least_mass: 20_000.0,
+            rest: Duration::from_millis(300),
+        }
+    }
+}
+
 /// What a leader tells a rank.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Instructions {
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -11,7 +11,7 @@
     time,
 };
 
-use crate::{Engine, Settings, Tuning, beacon, crew, crew::Crew, member::Member};
+use crate::{Engine, Settings, beacon, crew, crew::Crew, member::Member};
 
 /// Time between two looks at whether the engine has a group.
 const LOOK: Duration = Duration::from_millis(500);
@@ -23,7 +23,6 @@
 /// Returns an error if an address cannot be bound or a signal cannot be listened to.
 pub async fn run(
     settings: Settings,
-    tuning: Tuning,
     engine: Arc<dyn Engine>,
     source: Arc<dyn Source>,
 ) -> anyhow::Result<()> {
@@ -32,7 +31,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let registry = Registry::new();
     let follow = Arc::new(Follow::new(&registry)?);
-    let crew = Crew::new(tuning);
+    let crew = Crew::new(settings.map);
     let peers = settings.listen.peers;
     let socket = UdpSocket::bind(peers).await.context("field `listen.peers`")?;
     let listener = TcpListener::bind(peers).await.context("field `listen.peers`")?;
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -4,6 +4,8 @@
 use conf::{Level, id};
 use serde::{Deserialize, Serialize};
 
+use crate::Tuning;
+
 /// Settings of an agent that keeps its group's expert map even.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -20,6 +22,9 @@
     pub engine: SocketAddr,
     /// Service that the engine runs.
     pub service: id::Service,
+    /// How eagerly the map is changed.
+    #[serde(default)]
+    pub map: Tuning,
     /// Least important level that is logged.
     #[serde(default = "default_level")]
     pub log: Level,
