Switch expert maps in smaller and quicker steps

Change: three copies a rank, a hold 130 ms ahead, ranks report every 120 ms, map 0 is known without asking, no change below a skew of 1.35.

--- a/crates/steer/src/beacon.rs
+++ b/crates/steer/src/beacon.rs
@@ -12,7 +12,7 @@
 use crate::{crew::Crew, engine::Epoch};
 
 /// Time between two announcements of a leader.
-const ANNOUNCE: Duration = Duration::from_millis(400);
+const ANNOUNCE: Duration = Duration::from_millis(250);
 /// Largest message in bytes.
 const LARGEST: usize = 512;
 
--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -13,11 +13,11 @@
 };
 
 /// Time between two reports of a rank while nothing is under way, and while a switch is.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(35));
+const PAUSES: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(25));
 /// Age at which a rank's report is too old to plan from.
 const FRESH: Duration = Duration::from_millis(1200);
 /// Time that ranks get to arm before the held pass is due.
-const LEAD_TIME: Duration = Duration::from_millis(260);
+const LEAD_TIME: Duration = Duration::from_millis(130);
 /// Fewest passes that a hold is ahead.
 const LEAST_MARGIN: Pass = 3;
 /// Time of a pass before one was measured.
@@ -36,6 +36,8 @@
     pub copies: usize,
     /// Skew that one copied expert must save at least.
     pub price: f64,
+    /// Skew from which the map is changed.
+    pub least_skew: f64,
     /// Skew that a change must save at least.
     pub least_gain: f64,
     #[serde_as(as = "unit::Span")]
@@ -51,8 +53,9 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            copies: 5,
+            copies: 3,
             price: 0.003,
+            least_skew: 1.35,
             least_gain: 0.1,
             memory: Duration::from_millis(500),
             least_mass: 20_000.0,
@@ -165,13 +168,19 @@
         self.epoch = status.epoch;
         self.ranks = status.ranks;
         self.switch = Switch::new(status.ranks);
-        self.placement = None;
+        self.placement = self.initial(status);
         self.lists = vec![None; status.ranks];
         self.heard = vec![None; status.ranks];
         self.rested = now;
         self.pass = None;
     }
 
+    /// Returns the placement that a group starts with, if the sizes are known from an earlier life.
+    fn initial(&self, status: &Status) -> Option<Placement> {
+        let experts = self.tally.popularity().first()?.len();
+        (status.map == 0).then(|| Balancer::initial(self.sets, experts, status.ranks))
+    }
+
     /// Learns the placement in force from the lists of all ranks.
     fn learn(&mut self, rank: usize, list: &[Vec<u16>]) {
         if self.placement.is_some() || self.switch.phase() != &Phase::Idle {
@@ -251,7 +260,8 @@
         let Some(step) = balancer.plan(placement, &popularity) else {
             return;
         };
-        if step.skew.0 - step.skew.1 < self.tuning.least_gain {
+        let (before, after) = step.skew;
+        if before < self.tuning.least_skew || before - after < self.tuning.least_gain {
             return;
         }
         let version = self.switch.free_version() + rand::random_range(0..VERSION_SPREAD);
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -13,7 +13,7 @@
 /// Time in which an engine beside the agent must answer.
 const ANSWER: Duration = Duration::from_millis(250);
 /// Time between two reads of what was chosen.
-const COUNTING: Duration = Duration::from_millis(200);
+const COUNTING: Duration = Duration::from_millis(110);
 /// Pause after an engine or leader did not answer.
 const RETRY: Duration = Duration::from_millis(150);
 /// Pause while the engine has no group.
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -14,7 +14,7 @@
 use crate::{Engine, Settings, beacon, crew, crew::Crew, member::Member};
 
 /// Time between two looks at whether the engine has a group.
-const LOOK: Duration = Duration::from_millis(500);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Runs an agent until it is told to stop.
 ///
