--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -72,7 +72,7 @@
 }
 
 /// Order to an engine; it is refused in another epoch.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Order {
     /// Copy the experts of a map.
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -24,7 +24,7 @@
 const EFFECT: Duration = Duration::from_millis(3);
 
 /// What a rank tells its leader.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Status {
     /// Life of the group.
     pub epoch: Epoch,
--- a/crates/steer/src/switch.rs
+++ b/crates/steer/src/switch.rs
@@ -19,7 +19,7 @@
 const COPYING: Duration = Duration::from_secs(12);
 
 /// Step of a switch that is under way.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Phase {
     /// No switch is under way.
     Idle,
--- /dev/null
+++ b/crates/steer/tests/suite/tally_decay.rs
@@ -0,0 +1,26 @@
+use std::time::Duration;
+
+use steer::Tally;
+use tokio::time::{self, Instant};
+
+const MEMORY: Duration = Duration::from_millis(500);
+
+#[tokio::test(start_paused = true)]
+async fn newest_counts_most() {
+    let mut tally = Tally::new(MEMORY, 1);
+    tally.add(&[1000, 0], Instant::now());
+    time::advance(MEMORY * 4).await;
+    tally.add(&[0, 1000], Instant::now());
+    let popularity = tally.popularity();
+    assert!(popularity[0][1] > 40.0 * popularity[0][0], "{popularity:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn ranks_add_up() {
+    let mut tally = Tally::new(MEMORY, 2);
+    let now = Instant::now();
+    tally.add(&[1, 2, 3, 4], now);
+    tally.add(&[1, 0, 0, 1], now);
+    assert_eq!(tally.popularity(), [[2.0, 2.0], [3.0, 5.0]]);
+    assert!((tally.mass() - 6.0).abs() < f64::EPSILON);
+}
