--- /dev/null
+++ b/crates/direct/tests/suite/support.rs
@@ -0,0 +1,129 @@
+use std::{sync::Arc, time::Duration};
+
+use direct::{Bounds, Desk, Send};
+use fleet::{
+    Configuration, Endpoint, Engine, Known, Limits, Repeat, Route, Service, Split, Stage, Team, View,
+};
+use tokio::time::Instant;
+
+pub(crate) const SLOTS: u32 = 4;
+
+pub(crate) fn bounds() -> Bounds {
+    Bounds {
+        entries: 4,
+        retry_ratio: 0.2,
+        retry_extra: 8.0,
+        retry_window: Duration::from_secs(10),
+        cold_overshoot: 1.5,
+        cold_slack: 5.0,
+        grace: Duration::from_secs(8),
+    }
+}
+
+pub(crate) fn desk() -> Desk {
+    Desk::new("a".into(), bounds(), 7)
+}
+
+pub(crate) fn route(kind: Repeat, stream: bool, prefix: &str, service: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: prefix.trim_matches('/').into(),
+        host: "host.example".into(),
+        prefix: prefix.into(),
+        split: vec![Split {
+            service: service.into(),
+            weight: 1,
+        }],
+        repeat: kind,
+        stream,
+        timeout: Duration::from_secs(3),
+        target: Duration::from_millis(400),
+        attempts: 2,
+        priority: 1,
+        public: false,
+    })
+}
+
+fn service(engine: bool) -> Service {
+    Service {
+        connections: 100,
+        cold: Duration::from_secs(3),
+        cold_rate: if engine { 10.0 } else { 0.0 },
+        engine: engine.then_some(Engine {
+            step: Duration::from_millis(6),
+            step_per_request: Duration::from_micros(300),
+            stride: 5,
+            read_rate: 60_000.0,
+            places: 6,
+            fresh: 2,
+            form: Duration::from_millis(600),
+        }),
+    }
+}
+
+pub(crate) fn configuration(version: u64) -> Configuration {
+    let team = Team {
+        name: "team".into(),
+        priority: None,
+    };
+    Configuration {
+        version,
+        routes: vec![
+            route(Repeat::Resumable, true, "/draft/", "drafts"),
+            route(Repeat::Forbidden, false, "/order/", "orders"),
+            route(Repeat::Allowed, false, "/look/", "orders"),
+            route(Repeat::Allowed, false, "/look/far/", "nowhere"),
+        ],
+        services: [("drafts".into(), service(true)), ("orders".into(), service(false))].into(),
+        teams: [("key".into(), team)].into(),
+        keyed: true,
+        limits: Limits {
+            head: 8192,
+            body: 4096,
+            head_time: Duration::from_secs(1),
+            idle_time: Duration::from_secs(5),
+        },
+    }
+}
+
+pub(crate) fn endpoint(service: &str, zone: &str, address: std::net::SocketAddr) -> Endpoint {
+    Endpoint {
+        service: service.into(),
+        address,
+        zone: zone.into(),
+        slots: SLOTS,
+        stage: Stage::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+/// Makes a view with engines of one service, named `e0`, `e1` and so on, in zones `a` and `b` by turns.
+pub(crate) fn view(engines: usize) -> View {
+    let now = Instant::now();
+    let mut view = View {
+        configuration: Some(Arc::new(configuration(1))),
+        ..View::default()
+    };
+    for index in 0..engines {
+        let zone = if index % 2 == 0 { "a" } else { "b" };
+        let known = Known {
+            endpoint: Arc::new(endpoint("drafts", zone, ([127, 0, 0, 1], 9).into())),
+            cold_until: now,
+            until: None,
+            revision: 1,
+        };
+        view.endpoints.insert(format!("e{index}").into(), known);
+    }
+    view
+}
+
+pub(crate) fn send(service: &conf::id::Service) -> Send<'_> {
+    Send {
+        service,
+        prompt: 100,
+        fingerprint: 1,
+        avoid: &[],
+        again: false,
+        left: Duration::from_secs(8),
+    }
+}
