Tell the groups of a service apart when one of them stalls, and plan by copying time

Several groups may serve one service: a stall now holds back the ranks that are known to share a group, learned from what they decline. The size of a change follows from the time that copying takes, large groups count less often, and the planner looks anew only at the sets that changed.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -34,9 +34,6 @@
 const TRIES: usize = 5;
 /// Largest body of a plain answer, in bytes; larger ones are passed on without being kept.
 const WHOLE: usize = 1 << 20;
-/// Time for which a group whose rank is lost is not asked again; it declines at once, so that asking
-/// often costs little and its return is noticed soon.
-const STALL: Duration = Duration::from_millis(300);
 /// Time after which callers come back to an entry that knows no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(700);
 /// Least time that a repeat needs to be worth sending.
@@ -376,8 +373,9 @@
     ) -> Step {
         self.note(&flight, "declined", head.status.as_str());
         if let Some(at_fault) = &answer.at_fault {
-            log::warn!(request:% = self.ask.id, service:% = self.service, at_fault:% = at_fault; "group is stalled");
-            self.context.decide(|desk| desk.stalled(&self.service, STALL, Instant::now()));
+            let endpoint = &flight.placement.endpoint;
+            log::warn!(request:% = self.ask.id, endpoint:% = endpoint, at_fault:% = at_fault; "group is stalled");
+            self.context.decide(|desk| desk.stalled(endpoint, at_fault, Instant::now()));
         }
         let keep_alive = outlet::keep_alive(&head.headers);
         if Limited::new(body, WHOLE).collect().await.is_ok() {
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use conf::id;
 use fault::{ErrorKind, Fault};
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Bounds, Budget, Cold, Health, Load, Loads, Suspects,
+    Bounds, Budget, Cold, Health, Load, Loads, Stalls, Suspects,
     suspect::{Crash, Fingerprint},
 };
 
@@ -97,7 +97,7 @@
     cold: Cold,
     budget: Budget,
     suspects: Suspects,
-    stalled: HashMap<id::Service, Instant>,
+    stalls: Stalls,
     random: SmallRng,
 }
 
@@ -116,7 +116,7 @@
             cold: Cold::default(),
             budget,
             suspects: Suspects::default(),
-            stalled: HashMap::new(),
+            stalls: Stalls::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -133,11 +133,8 @@
         if !self.suspects.allows(send.fingerprint, now) {
             return Err(ErrorKind::Suspect.into());
         }
-        if self.stalled.get(send.service).is_some_and(|until| *until > now) {
-            return Err(self.is_down(send).detail("a rank of the group is lost"));
-        }
         let Some(mut placement) = self.best(view, send, now)? else {
-            return Err(self.is_down(send));
+            return Err(self.is_down(send).detail("no endpoint is present, reachable and unstalled"));
         };
         if send.again && !self.budget.again(send.service, self.entries, now) {
             let detail = "the budget for repeats is used up";
@@ -166,7 +163,8 @@
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
         let (mut best, mut kind): (Option<(f64, Placement)>, _) = (None, None);
         for (id, known) in view.open(send.service, now) {
-            if send.avoid.contains(id) || self.health.is_paused(id, now) {
+            let passed_over = self.health.is_paused(id, now) || self.stalls.holds(id, now);
+            if send.avoid.contains(id) || passed_over {
                 continue;
             }
             let load = self.loads.at(id, now);
@@ -232,7 +230,10 @@
         let id = &placement.endpoint;
         self.loads.ended(id);
         match outcome {
-            Outcome::Whole => self.health.succeeded(id),
+            Outcome::Whole => {
+                self.health.succeeded(id);
+                self.stalls.answered(id, now);
+            }
             Outcome::Failed => self.health.failed(id),
             Outcome::Misdirected => {
                 self.health.left(id, now);
@@ -249,9 +250,9 @@
         self.suspects.crashed(fingerprint, crash, now);
     }
 
-    /// Notes that a service's group is stalled by one of its ranks.
-    pub fn stalled(&mut self, service: &id::Service, span: Duration, now: Instant) {
-        self.stalled.insert(service.clone(), now + span);
+    /// Notes that an endpoint's group is stalled by the loss of another of its ranks.
+    pub fn stalled(&mut self, endpoint: &id::Endpoint, at_fault: &id::Endpoint, now: Instant) {
+        self.stalls.declined(endpoint, at_fault, now);
     }
 
     /// Forgets what belongs to endpoints that are no longer known.
@@ -260,6 +261,7 @@
         self.loads.retain(known);
         self.health.retain(known);
         self.cold.retain(known);
+        self.stalls.retain(known);
     }
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -23,6 +23,7 @@
 mod server;
 mod settings;
 mod share;
+mod stalls;
 mod suspect;
 mod sync;
 
@@ -36,4 +37,5 @@
 pub use load::{Load, Loads};
 pub use run::run;
 pub use settings::{Bounds, Listen, Settings};
+pub use stalls::Stalls;
 pub use suspect::{Crash, Fingerprint, Suspects};
--- a/crates/direct/tests/suite/desk_choice.rs
+++ b/crates/direct/tests/suite/desk_choice.rs
@@ -69,7 +69,7 @@
 #[tokio::test(start_paused = true)]
 async fn stalled_group_refuses() {
     let (mut desk, view, service) = (desk(), view(2), "drafts".into());
-    desk.stalled(&service, Duration::from_millis(300), Instant::now());
+    desk.stalled(&"e0".into(), &"e1".into(), Instant::now());
     for _ in 0..50 {
         let fault = desk.choose(&view, &send(&service), Instant::now()).unwrap_err();
         assert_eq!((fault.kind(), fault.run()), (ErrorKind::NoEndpoint, Run::No));
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -55,6 +55,7 @@
             read_rate: 60_000.0,
             places: 6,
             fresh: 2,
+            copy_time: Duration::from_millis(100),
             form: Duration::from_millis(600),
         }),
     }
--- a/crates/expert/src/balance.rs
+++ b/crates/expert/src/balance.rs
@@ -80,30 +80,36 @@
         let mut used = vec![0; ranks];
         let mut fresh = vec![vec![0; ranks]; sets.len()];
         let price = self.price * sets.len() as f64;
+        let mut found: Vec<Option<Option<(f64, Move)>>> = vec![None; sets.len()];
         loop {
-            let mut best: Option<(f64, usize, Move)> = None;
             for (index, set) in sets.iter().enumerate() {
                 let allowed = |rank: usize| {
                     used[rank] < self.room.copies && fresh[index][rank] < self.room.fresh
                 };
-                let Some((gain, next)) = set.best(self.room.places, &current[index], &allowed)
-                else {
-                    continue;
-                };
-                if best.as_ref().is_none_or(|(most, ..)| gain > *most) {
-                    best = Some((gain, index, next));
+                let stands = found[index].is_some_and(|best| {
+                    best.is_none_or(|(_, next)| {
+                        let copied = next.copied(&current[index]);
+                        copied.iter().all(|(rank, _)| allowed(*rank))
+                    })
+                });
+                if !stands {
+                    found[index] = Some(set.best(self.room.places, &current[index], &allowed));
                 }
             }
+            let best = found.iter().enumerate().filter_map(|(index, best)| {
+                let (gain, next) = (*best)??;
+                Some((gain, index, next))
+            });
+            let best = best.max_by(|a, b| a.0.total_cmp(&b.0));
             let Some((_, index, next)) = best.filter(|(gain, ..)| *gain > price) else {
                 break;
             };
-            for (rank, expert) in next.added() {
-                if !current[index][rank].contains(&expert) {
-                    used[rank] += 1;
-                    fresh[index][rank] += 1;
-                }
+            for (rank, _) in next.copied(&current[index]) {
+                used[rank] += 1;
+                fresh[index][rank] += 1;
             }
             sets[index].apply(next);
+            found[index] = None;
         }
         let after = mean_skew(&sets);
         let placement: Placement = sets.into_iter().map(|set| set.ranks).collect();
@@ -148,6 +154,13 @@
             Move::Swap { hot, cold } => vec![(hot.0, cold.1), (cold.0, hot.1)],
         }
     }
+
+    /// Returns the experts that ranks must copy for it, given what they hold now.
+    fn copied(self, current: &[Vec<u16>]) -> Vec<(usize, u16)> {
+        let mut added = self.added();
+        added.retain(|(rank, expert)| !current[*rank].contains(expert));
+        added
+    }
 }
 
 /// One set of layers with the load of each rank; loads are shares of a perfect split, so that 1 is the mean.
@@ -218,11 +231,7 @@
         for hot in order.iter().rev().take(SOURCES) {
             for cold in partners.iter().filter(|cold| *cold != hot) {
                 for next in self.moves(*hot, *cold, places) {
-                    let fresh: Vec<(usize, u16)> = next
-                        .added()
-                        .into_iter()
-                        .filter(|(rank, expert)| !current[*rank].contains(expert))
-                        .collect();
+                    let fresh = next.copied(current);
                     if fresh.iter().any(|(rank, _)| !allowed(*rank)) {
                         continue;
                     }
--- /dev/null
+++ b/crates/expert/tests/suite/even_shares.rs
@@ -0,0 +1,107 @@
+use expert::{Balancer, Placement, Room};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+const ROOM: Room = Room {
+    places: 11,
+    fresh: 4,
+    copies: 4,
+};
+const SETS: usize = 3;
+const EXPERTS: usize = 96;
+const RANKS: usize = 12;
+/// Skew that one copy must save.
+const PRICE: f64 = 0.005;
+
+/// Popularity that falls as a power of the place in a random order.
+fn popularity(seed: u64) -> Vec<Vec<f64>> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut set = || {
+        let mut order: Vec<usize> = (0..EXPERTS).collect();
+        for index in (1..EXPERTS).rev() {
+            order.swap(index, random.random_range(0..=index));
+        }
+        let mut weights = vec![0.0; EXPERTS];
+        for (place, expert) in order.into_iter().enumerate() {
+            weights[expert] = 1.0 / (1.0 + place as f64).powf(1.3);
+        }
+        weights
+    };
+    (0..SETS).map(|_| set()).collect()
+}
+
+fn check(before: &Placement, after: &Placement, room: Room) {
+    for (old, new) in before.iter().zip(after) {
+        for expert in 0..EXPERTS as u16 {
+            assert!(new.iter().any(|rank| rank.contains(&expert)), "expert {expert} is lost");
+        }
+        for (old, new) in old.iter().zip(new) {
+            let mut unique = new.clone();
+            unique.sort_unstable();
+            unique.dedup();
+            assert!(new.len() <= room.places && unique.len() == new.len(), "{new:?}");
+            assert!(new.iter().filter(|e| !old.contains(e)).count() <= room.fresh);
+        }
+    }
+    for rank in 0..before[0].len() {
+        let copies = |(old, new): (&Vec<Vec<u16>>, &Vec<Vec<u16>>)| {
+            new[rank].iter().filter(|e| !old[rank].contains(e)).count()
+        };
+        let copies: usize = before.iter().zip(after).map(copies).sum();
+        assert!(copies <= room.copies, "rank {rank} copies {copies}");
+    }
+}
+
+#[test]
+fn skew_falls_within_room() {
+    for seed in 0..20 {
+        let popularity = popularity(seed);
+        let mut placement = Balancer::initial(SETS, EXPERTS, RANKS);
+        let first = Balancer::skew(&placement, &popularity);
+        for _ in 0..6 {
+            let Some(step) = Balancer::new(ROOM, PRICE).plan(&placement, &popularity) else {
+                break;
+            };
+            check(&placement, &step.placement, ROOM);
+            assert!(step.skew.1 < step.skew.0, "{:?}", step.skew);
+            placement = step.placement;
+        }
+        let last = Balancer::skew(&placement, &popularity);
+        assert!(first > 2.0 && last < 1.25, "seed {seed}: {first} to {last}");
+    }
+}
+
+/// Load pattern: what is liked changes for half of the experts at once.
+#[test]
+fn one_step_after_shift() {
+    for seed in 0..20 {
+        let (old, new) = (popularity(seed), popularity(seed + 100));
+        let mut placement = Balancer::initial(SETS, EXPERTS, RANKS);
+        while let Some(step) = Balancer::new(ROOM, PRICE).plan(&placement, &old) {
+            placement = step.placement;
+        }
+        let mixed: Vec<Vec<f64>> = old
+            .iter()
+            .zip(&new)
+            .map(|(old, new)| old.iter().zip(new).map(|(o, n)| (o + n) / 2.0).collect())
+            .collect();
+        let before = Balancer::skew(&placement, &mixed);
+        let step = Balancer::new(ROOM, PRICE).plan(&placement, &mixed).unwrap();
+        assert!(step.skew.1 < 1.0 + (before - 1.0) / 2.0, "seed {seed}: {:?}", step.skew);
+    }
+}
+
+#[test]
+fn even_load_stays() {
+    let popularity = vec![vec![1.0; EXPERTS]; SETS];
+    let placement = Balancer::initial(SETS, EXPERTS, RANKS);
+    assert_eq!(Balancer::new(ROOM, PRICE).plan(&placement, &popularity), None);
+}
+
+#[test]
+fn same_input_same_plan() {
+    let popularity = popularity(5);
+    let placement = Balancer::initial(SETS, EXPERTS, RANKS);
+    let plan = || Balancer::new(ROOM, PRICE).plan(&placement, &popularity);
+    assert_eq!(plan(), plan());
+}
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -67,6 +67,8 @@
     pub places: usize,
     /// Experts of one set of layers that a rank can take on in one change of the map.
     pub fresh: usize,
+    /// Time in which a rank copies one expert.
+    pub copy_time: Duration,
     /// Time that a group takes to form again once all its ranks are back.
     pub form: Duration,
 }
--- a/crates/steer/src/crew.rs
+++ b/crates/steer/src/crew.rs
@@ -72,10 +72,10 @@
     }
 
     /// Tells the leader, if it is this agent, what its service's configuration allows.
-    pub(crate) fn allow(&self, places: usize, fresh: usize) {
+    pub(crate) fn allow(&self, places: usize, fresh: usize, copy_time: Duration) {
         let mut led = self.led.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((_, lead)) = led.as_mut() {
-            lead.allow(places, fresh);
+            lead.allow(places, fresh, copy_time);
         }
     }
 
--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -32,28 +32,29 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Tuning {
-    /// Experts that a rank takes on at most in one change, over all sets; bounds the copying time.
-    pub copies: usize,
+    /// Time for which ranks copy experts in one change at most; passes are slower meanwhile.
+    #[serde_as(as = "unit::Span")]
+    pub copying: Duration,
     /// Skew that one copied expert must save at least.
     pub price: f64,
     /// Skew from which the map is changed.
     pub least_skew: f64,
     /// Skew that a change must save at least.
     pub least_gain: f64,
-    #[serde_as(as = "unit::Span")]
     /// Time in which counts lose weight by a factor of e.
+    #[serde_as(as = "unit::Span")]
     pub memory: Duration,
     /// Choices in memory, for each set, from which a plan is made.
     pub least_mass: f64,
-    #[serde_as(as = "unit::Span")]
     /// Least time between the end of a switch and the next.
+    #[serde_as(as = "unit::Span")]
     pub rest: Duration,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            copies: 2,
+            copying: Duration::from_millis(300),
             price: 0.005,
             least_skew: 1.6,
             least_gain: 0.3,
@@ -119,12 +120,14 @@
         self.epoch
     }
 
-    /// Sets how many experts of a set a rank holds, and how many it takes on in one change.
-    pub fn allow(&mut self, places: usize, fresh: usize) {
+    /// Sets how many experts of a set a rank holds, how many it takes on in one change, and how
+    /// long it copies each.
+    pub fn allow(&mut self, places: usize, fresh: usize, copy_time: Duration) {
+        let copies = self.tuning.copying.as_secs_f64() / copy_time.as_secs_f64().max(0.001);
         self.room = Some(Room {
             places,
             fresh,
-            copies: self.tuning.copies,
+            copies: (copies as usize).max(1),
         });
     }
 
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -14,8 +14,9 @@
 const ANSWER: Duration = Duration::from_millis(250);
 /// Time in which an engine takes an order; one that takes longer is given again, which does no harm.
 const ORDER: Duration = Duration::from_millis(60);
-/// Time between two reads of what was chosen.
-const COUNTING: Duration = Duration::from_millis(110);
+/// Least time between two reads of what was chosen, and time for each of the counts, so that large
+/// groups do not fill their leader's link.
+const COUNTING: (Duration, Duration) = (Duration::from_millis(110), Duration::from_micros(300));
 /// Pause after an engine or leader did not answer.
 const RETRY: Duration = Duration::from_millis(150);
 /// Pause while the engine has no group.
@@ -120,7 +121,10 @@
         let Some(group) = report.group.clone() else {
             return Ok(ALONE);
         };
-        let due = self.counted_at.is_none_or(|at| at.elapsed() >= COUNTING);
+        let counts = self.counted.as_ref().map_or(0, |counts| counts.counts.len());
+        let pause = COUNTING.1 * u32::try_from(counts).unwrap_or(u32::MAX);
+        let pause = pause.max(COUNTING.0);
+        let due = self.counted_at.is_none_or(|at| at.elapsed() >= pause);
         if due && group.open {
             self.count().await?;
         }
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -79,7 +79,7 @@
         let view = view.borrow_and_update().clone();
         let service = view.configuration.as_ref().and_then(|c| c.services.get(&service));
         if let Some(engine) = service.and_then(|s| s.engine.as_ref()) {
-            crew.allow(engine.places, engine.fresh);
+            crew.allow(engine.places, engine.fresh, engine.copy_time);
         }
     }
 }
--- a/crates/steer/tests/suite/lead_plans.rs
+++ b/crates/steer/tests/suite/lead_plans.rs
@@ -48,7 +48,7 @@
 
 fn lead() -> Lead {
     let mut lead = Lead::new(tuning(), Instant::now());
-    lead.allow(6, 2);
+    lead.allow(6, 2, Duration::from_millis(100));
     lead
 }
 
