--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -10,5 +10,7 @@
 
 /// Makes a body of bytes that are all here.
 pub(crate) fn whole(bytes: Bytes) -> Body {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -67,7 +67,10 @@
     /// Runs `decide` on the desk.
     pub(crate) fn decide<T>(&self, decide: impl FnOnce(&mut Desk) -> T) -> T {
         // A poisoned lock means that a decision panicked; its tables hold counts, which stay usable.
-        let mut desk = self.desk.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut desk = self
+            .desk
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         decide(&mut desk)
     }
 }
@@ -120,7 +123,11 @@
     fn drop(&mut self) {
         self.context.metrics.in_flight.dec();
         if !self.answered {
-            self.context.metrics.requests.with_label_values(&["left"]).inc();
+            self.context
+                .metrics
+                .requests
+                .with_label_values(&["left"])
+                .inc();
             let age = millis(self.arrived.elapsed());
             log::info!(request:% = self.id, age_ms = age; "caller left before its answer began");
         }
@@ -205,7 +212,10 @@
         Ok(Self {
             service: split(&route, &ask.id),
             team: team.map(|t| t.name.clone()),
-            rank: team.and_then(|t| t.priority).unwrap_or(route.priority).min(9),
+            rank: team
+                .and_then(|t| t.priority)
+                .unwrap_or(route.priority)
+                .min(9),
             version: configuration.version,
             fingerprint: fingerprint(team.map(|t| &t.name), path, &body),
             context: context.clone(),
@@ -337,13 +347,21 @@
 
     /// Judges the head of an endpoint's answer.
     async fn receive(&mut self, flight: Flight, opened: Opened) -> Step {
-        let Opened { response, link, fresh } = opened;
+        let Opened {
+            response,
+            link,
+            fresh,
+        } = opened;
         let (head, body) = response.into_parts();
         let answer = self.context.dialect.answer(&head);
         if answer.request.as_ref().is_some_and(|id| *id != self.ask.id) {
             // The connection carries an answer to an earlier request; dropping the link closes it.
             self.runs += 1;
-            self.note(&flight, "answer to another request", if fresh { "fresh" } else { "kept" });
+            self.note(
+                &flight,
+                "answer to another request",
+                if fresh { "fresh" } else { "kept" },
+            );
             flight.end(Outcome::Dropped);
             return Step::Unknown(SmolStr::new_static("answer to another request"));
         }
@@ -352,7 +370,11 @@
         }
         self.runs += 1;
         if answer.encoded || !answer.signed {
-            self.note(&flight, "answer is not the endpoint's own", head.status.as_str());
+            self.note(
+                &flight,
+                "answer is not the endpoint's own",
+                head.status.as_str(),
+            );
             flight.end(Outcome::Broke);
             return Step::Unknown(SmolStr::new_static("answer is not the endpoint's own"));
         }
@@ -375,7 +397,8 @@
         if let Some(at_fault) = &answer.at_fault {
             let endpoint = &flight.placement.endpoint;
             log::warn!(request:% = self.ask.id, endpoint:% = endpoint, at_fault:% = at_fault; "group is stalled");
-            self.context.decide(|desk| desk.stalled(endpoint, at_fault, Instant::now()));
+            self.context
+                .decide(|desk| desk.stalled(endpoint, at_fault, Instant::now()));
         }
         let keep_alive = outlet::keep_alive(&head.headers);
         if Limited::new(body, WHOLE).collect().await.is_ok() {
@@ -412,10 +435,20 @@
                 return Step::Unknown(SmolStr::new_static("answer not whole by the deadline"));
             }
         };
-        self.context.outlet.keep(link, outlet::keep_alive(&head.headers));
+        self.context
+            .outlet
+            .keep(link, outlet::keep_alive(&head.headers));
         let failed = head.status.is_server_error();
-        self.note(&flight, if failed { "failed" } else { "answered" }, head.status.as_str());
-        flight.end(if failed { Outcome::Failed } else { Outcome::Whole });
+        self.note(
+            &flight,
+            if failed { "failed" } else { "answered" },
+            head.status.as_str(),
+        );
+        flight.end(if failed {
+            Outcome::Failed
+        } else {
+            Outcome::Whole
+        });
         self.measure(if failed { "failed" } else { "answered" });
         let response = respond(&head, body::whole(bytes));
         if failed && self.route.repeat != Repeat::Forbidden {
@@ -449,7 +482,10 @@
             }
         };
         relay.begin();
-        self.context.metrics.first_byte.observe(self.arrived.elapsed().as_secs_f64());
+        self.context
+            .metrics
+            .first_byte
+            .observe(self.arrived.elapsed().as_secs_f64());
         let resume = Resume {
             context: self.context.clone(),
             ask: self.ask.clone(),
@@ -475,7 +511,8 @@
     /// Notes that a connection broke while an endpoint ran the request.
     fn crashed(&self) {
         let crash = rand::random();
-        self.context.decide(|desk| desk.crashed(self.fingerprint, crash, Instant::now()));
+        self.context
+            .decide(|desk| desk.crashed(self.fingerprint, crash, Instant::now()));
     }
 
     fn left(&self) -> Duration {
@@ -490,16 +527,32 @@
             rank: self.rank,
             resume: self.ask.resumed,
         };
-        outgoing(&*self.context.dialect, &self.head, self.body.clone(), &offer)
+        outgoing(
+            &*self.context.dialect,
+            &self.head,
+            self.body.clone(),
+            &offer,
+        )
     }
 
     fn note(&self, flight: &Flight, outcome: &str, reason: &str) {
-        note(&self.context, &self.ask.id, flight, outcome, reason, self.arrived);
+        note(
+            &self.context,
+            &self.ask.id,
+            flight,
+            outcome,
+            reason,
+            self.arrived,
+        );
     }
 
     fn measure(&self, outcome: &str) {
         let age = self.arrived.elapsed().as_secs_f64();
-        self.context.metrics.requests.with_label_values(&[outcome]).inc();
+        self.context
+            .metrics
+            .requests
+            .with_label_values(&[outcome])
+            .inc();
         self.context.metrics.first_byte.observe(age);
         self.context.metrics.whole.observe(age);
     }
@@ -561,7 +614,9 @@
         }
         self.begin();
         let now = Instant::now();
-        let paused = self.context.decide(|desk| desk.ended(&self.placement, outcome, now));
+        let paused = self
+            .context
+            .decide(|desk| desk.ended(&self.placement, outcome, now));
         if paused {
             log::warn!(endpoint:% = self.placement.endpoint, outcome:? = outcome; "endpoint is passed over for a while");
         }
@@ -614,7 +669,9 @@
                 left,
             };
             let view = self.context.view.borrow().clone();
-            let choice = self.context.decide(|desk| desk.choose(&view, &send, Instant::now()));
+            let choice = self
+                .context
+                .decide(|desk| desk.choose(&view, &send, Instant::now()));
             let placement = match choice {
                 Ok(placement) => placement,
                 Err(fault) => {
@@ -629,7 +686,12 @@
         None
     }
 
-    async fn try_at(&mut self, placement: Placement, last: Option<u64>, left: Duration) -> Option<Relay> {
+    async fn try_at(
+        &mut self,
+        placement: Placement,
+        last: Option<u64>,
+        left: Duration,
+    ) -> Option<Relay> {
         let flight = Flight::new(self.context.clone(), placement);
         let endpoint = flight.placement.endpoint.clone();
         self.had.push(endpoint.clone());
@@ -641,8 +703,16 @@
             rank: self.rank,
             resume: last,
         };
-        let request = outgoing(&*self.context.dialect, &self.head, self.body.clone(), &offer);
-        let sending = self.context.outlet.send(&endpoint, flight.placement.address, request, false);
+        let request = outgoing(
+            &*self.context.dialect,
+            &self.head,
+            self.body.clone(),
+            &offer,
+        );
+        let sending = self
+            .context
+            .outlet
+            .send(&endpoint, flight.placement.address, request, false);
         let sent = time::timeout_at(self.deadline, sending).await;
         let (outcome, reason) = match sent {
             Err(_) => (Outcome::Broke, "no answer by the deadline".to_owned()),
@@ -662,11 +732,22 @@
                 if !answer.not_run && !answer.misdirected {
                     self.runs += 1;
                 }
-                let outcome = if answer.misdirected { Outcome::Misdirected } else { Outcome::Declined };
+                let outcome = if answer.misdirected {
+                    Outcome::Misdirected
+                } else {
+                    Outcome::Declined
+                };
                 (outcome, format!("status {}", head.status))
             }
         };
-        note(&self.context, &self.ask.id, &flight, "not resumed", &reason, self.arrived);
+        note(
+            &self.context,
+            &self.ask.id,
+            &flight,
+            "not resumed",
+            &reason,
+            self.arrived,
+        );
         flight.end(outcome);
         None
     }
@@ -700,7 +781,10 @@
 
 /// Returns the host that a request names, without its port.
 fn host(head: &request::Parts) -> SmolStr {
-    let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let named = head
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok());
     let host = named.or_else(|| head.uri.host()).unwrap_or_default();
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name.into(),
@@ -719,12 +803,20 @@
         }
         point -= weight;
     }
-    route.split.last().map(|s| s.service.clone()).unwrap_or_default()
+    route
+        .split
+        .last()
+        .map(|s| s.service.clone())
+        .unwrap_or_default()
 }
 
 fn fingerprint(team: Option<&id::Team>, path: &str, body: &[u8]) -> Fingerprint {
     let mut hash = Xxh3::new();
-    for part in [team.map_or("", |t| t.as_str()).as_bytes(), path.as_bytes(), body] {
+    for part in [
+        team.map_or("", |t| t.as_str()).as_bytes(),
+        path.as_bytes(),
+        body,
+    ] {
         hash.update(&part.len().to_le_bytes());
         hash.update(part);
     }
@@ -780,8 +872,16 @@
 fn refuse(context: &Context, id: &SmolStr, fault: &Fault, arrived: Instant) -> Response<Body> {
     let status = context.dialect.status(fault);
     let age = arrived.elapsed();
-    let run = if fault.run() == Run::No { "no" } else { "unknown" };
-    context.metrics.requests.with_label_values(&[fault.kind().name()]).inc();
+    let run = if fault.run() == Run::No {
+        "no"
+    } else {
+        "unknown"
+    };
+    context
+        .metrics
+        .requests
+        .with_label_values(&[fault.kind().name()])
+        .inc();
     log::info!(
         request:% = id,
         status = status.as_u16(),
@@ -799,7 +899,9 @@
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
-    if let Some(after) = fault.retry_time().filter(|_| status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS) {
+    if let Some(after) = fault.retry_time().filter(|_| {
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+    }) {
         headers.insert(header::RETRY_AFTER, context.dialect.retry_after(after));
     }
     response
--- a/crates/direct/src/cold.rs
+++ b/crates/direct/src/cold.rs
@@ -6,7 +6,6 @@
 use conf::id;
 use tokio::time::Instant;
 
-
 /// Window over which a cold endpoint's requests are counted, with a tenth for the spread of delays.
 const WINDOW: Duration = Duration::from_millis(1100);
 
@@ -27,7 +26,9 @@
         let own = rate / entries.max(1) as f64;
         if own < 1.0 {
             let pause = WINDOW.div_f64(own.max(0.001));
-            return sent.back().is_none_or(|last| now.duration_since(*last) >= pause);
+            return sent
+                .back()
+                .is_none_or(|last| now.duration_since(*last) >= pause);
         }
         let recent = sent.iter().filter(|at| now.duration_since(**at) < WINDOW);
         (recent.count() as f64) + 1.0 <= own.floor()
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -134,7 +134,9 @@
             return Err(ErrorKind::Suspect.into());
         }
         let Some(mut placement) = self.best(view, send, now)? else {
-            return Err(self.is_down(send).detail("no endpoint is present, reachable and unstalled"));
+            return Err(self
+                .is_down(send)
+                .detail("no endpoint is present, reachable and unstalled"));
         };
         if send.again && !self.budget.again(send.service, self.entries, now) {
             let detail = "the budget for repeats is used up";
@@ -158,7 +160,10 @@
         send: &Send<'_>,
         now: Instant,
     ) -> Result<Option<Placement>, Fault> {
-        let service = view.configuration.as_ref().and_then(|c| c.services.get(send.service));
+        let service = view
+            .configuration
+            .as_ref()
+            .and_then(|c| c.services.get(send.service));
         let engine = service.is_some_and(|s| s.engine.is_some());
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
         let (mut best, mut kind): (Option<(f64, Placement)>, _) = (None, None);
@@ -200,8 +205,16 @@
     }
 
     fn penalty(&self, id: &id::Endpoint, known: &Known, cold: bool) -> f64 {
-        let far = if known.endpoint.zone == self.zone { 0.0 } else { FAR };
-        let slow = if cold { f64::from(known.endpoint.slots) / 2.0 } else { 0.0 };
+        let far = if known.endpoint.zone == self.zone {
+            0.0
+        } else {
+            FAR
+        };
+        let slow = if cold {
+            f64::from(known.endpoint.slots) / 2.0
+        } else {
+            0.0
+        };
         far + slow + self.health.failures(id) * FAILING
     }
 
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -93,7 +93,9 @@
         context: Arc<Context>,
     ) -> anyhow::Result<Arc<Self>> {
         let own = settings.listen.gossip;
-        let socket = UdpSocket::bind(own).await.context("field `listen.gossip`")?;
+        let socket = UdpSocket::bind(own)
+            .await
+            .context("field `listen.gossip`")?;
         let gossip = Self {
             socket,
             process: settings.name.clone(),
@@ -150,10 +152,18 @@
     fn unheard_seeds(&self) -> Vec<SocketAddr> {
         let seeds = lock(&self.seeds).clone();
         let members = lock(&self.members);
-        seeds.into_iter().filter(|seed| !members.contains_key(seed)).collect()
+        seeds
+            .into_iter()
+            .filter(|seed| !members.contains_key(seed))
+            .collect()
     }
 
-    async fn tell(&self, mut loads: Vec<(id::Endpoint, Load)>, targets: &[SocketAddr], now: Instant) {
+    async fn tell(
+        &self,
+        mut loads: Vec<(id::Endpoint, Load)>,
+        targets: &[SocketAddr],
+        now: Instant,
+    ) {
         loads.truncate(TOLD);
         let (_, newest, _) = self.follow.position();
         let rumor = Rumor {
@@ -222,7 +232,10 @@
         });
         let members = lock(&self.members);
         let mut seeds = lock(&self.seeds);
-        let strangers = rumor.known.into_iter().filter(|a| *a != self.own && !members.contains_key(a));
+        let strangers = rumor
+            .known
+            .into_iter()
+            .filter(|a| *a != self.own && !members.contains_key(a));
         let room = NAMED.saturating_sub(seeds.len());
         seeds.extend(strangers.take(room).collect::<Vec<_>>());
     }
@@ -249,7 +262,10 @@
     }
 
     fn count(&self, entries: usize) {
-        self.context.metrics.entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
+        self.context
+            .metrics
+            .entries
+            .set(i64::try_from(entries).unwrap_or(i64::MAX));
         self.context.decide(|desk| desk.count_entries(entries));
     }
 
@@ -271,7 +287,9 @@
             }
             match sync::fetch(teacher, covered).await {
                 Ok(page) => self.follow.take(page, &process),
-                Err(e) => log::info!(peer:% = process, reason:% = format!("{e:#}"); "entry does not teach"),
+                Err(e) => {
+                    log::info!(peer:% = process, reason:% = format!("{e:#}"); "entry does not teach")
+                }
             }
         }
     }
--- a/crates/direct/src/health.rs
+++ b/crates/direct/src/health.rs
@@ -31,7 +31,9 @@
     #[must_use]
     pub fn is_paused(&self, endpoint: &str, now: Instant) -> bool {
         let record = self.endpoints.get(endpoint);
-        record.and_then(|r| r.until).is_some_and(|until| until > now)
+        record
+            .and_then(|r| r.until)
+            .is_some_and(|until| until > now)
     }
 
     /// Returns the share of an endpoint's answers that failed lately, 0 to 1.
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -37,7 +37,10 @@
     #[must_use]
     pub fn at(&self, endpoint: &str, now: Instant) -> Load {
         let own = self.own.get(endpoint).copied().unwrap_or_default();
-        let fresh = self.others.values().filter(|(at, _)| now.duration_since(*at) < STALE);
+        let fresh = self
+            .others
+            .values()
+            .filter(|(at, _)| now.duration_since(*at) < STALE);
         fresh
             .filter_map(|(_, loads)| loads.get(endpoint))
             .fold(own, |sum, load| sum.plus(*load))
@@ -46,8 +49,12 @@
     /// Lists this entry's own work, for the others.
     #[must_use]
     pub fn own(&self) -> Vec<(id::Endpoint, Load)> {
-        let busy = self.own.iter().filter(|(_, load)| **load != Load::default());
-        busy.map(|(endpoint, load)| (endpoint.clone(), *load)).collect()
+        let busy = self
+            .own
+            .iter()
+            .filter(|(_, load)| **load != Load::default());
+        busy.map(|(endpoint, load)| (endpoint.clone(), *load))
+            .collect()
     }
 
     /// Notes a request that is sent with so many prompt tokens.
@@ -73,12 +80,15 @@
 
     /// Takes in what another entry tells of its work.
     pub fn hear(&mut self, entry: &id::Process, loads: Vec<(id::Endpoint, Load)>, now: Instant) {
-        self.others.retain(|_, (at, _)| now.duration_since(*at) < STALE);
-        self.others.insert(entry.clone(), (now, loads.into_iter().collect()));
+        self.others
+            .retain(|_, (at, _)| now.duration_since(*at) < STALE);
+        self.others
+            .insert(entry.clone(), (now, loads.into_iter().collect()));
     }
 
     /// Forgets endpoints that are no longer known and idle.
     pub fn retain(&mut self, known: impl Fn(&id::Endpoint) -> bool) {
-        self.own.retain(|endpoint, load| known(endpoint) || *load != Load::default());
+        self.own
+            .retain(|endpoint, load| known(endpoint) || *load != Load::default());
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -47,7 +47,11 @@
         };
         Ok(Self {
             requests: counter("direct_requests_total", "Requests by outcome.", "outcome")?,
-            sends: counter("direct_sends_total", "Sends to endpoints by outcome.", "outcome")?,
+            sends: counter(
+                "direct_sends_total",
+                "Sends to endpoints by outcome.",
+                "outcome",
+            )?,
             first_byte: histogram("direct_first_byte_seconds", "Arrival to first byte.")?,
             whole: histogram("direct_answer_seconds", "Arrival to end of the answer.")?,
             in_flight: gauge("direct_in_flight", "Requests in progress.")?,
--- a/crates/direct/src/outlet.rs
+++ b/crates/direct/src/outlet.rs
@@ -1,9 +1,4 @@
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Mutex,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
 
 use bytes::Bytes;
 use conf::id;
@@ -82,7 +77,13 @@
     ) -> Result<Opened, Broken> {
         while let Some(mut link) = self.take(endpoint, address).filter(|_| !fresh) {
             match link.sender.try_send_request(request).await {
-                Ok(response) => return Ok(Opened { response, link, fresh: false }),
+                Ok(response) => {
+                    return Ok(Opened {
+                        response,
+                        link,
+                        fresh: false,
+                    });
+                }
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(Broken::Unknown(describe(e.error()))),
@@ -91,7 +92,11 @@
         }
         let mut link = connect(endpoint, address).await.map_err(Broken::Unsent)?;
         match link.sender.try_send_request(request).await {
-            Ok(response) => Ok(Opened { response, link, fresh: true }),
+            Ok(response) => Ok(Opened {
+                response,
+                link,
+                fresh: true,
+            }),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => Broken::Unsent(describe(e.error())),
                 None => Broken::Unknown(describe(e.error())),
@@ -178,7 +183,11 @@
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
-        .any(|value| value.split(',').any(|t| t.trim().eq_ignore_ascii_case("close")));
+        .any(|value| {
+            value
+                .split(',')
+                .any(|t| t.trim().eq_ignore_ascii_case("close"))
+        });
     if closes {
         return Some(Duration::ZERO);
     }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -185,12 +185,24 @@
     }
 
     fn count(&self, outcome: &str) {
-        self.resume.context.metrics.requests.with_label_values(&[outcome]).inc();
+        self.resume
+            .context
+            .metrics
+            .requests
+            .with_label_values(&[outcome])
+            .inc();
     }
 
     fn note(&self, relay: &Relay, outcome: &str, reason: &str) {
         let resume = &self.resume;
-        note(&resume.context, &resume.ask.id, &relay.flight, outcome, reason, resume.arrived);
+        note(
+            &resume.context,
+            &resume.ask.id,
+            &relay.flight,
+            outcome,
+            reason,
+            resume.arrived,
+        );
     }
 }
 
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -16,11 +16,7 @@
 };
 
 use crate::{
-    Desk, Dialect, Settings,
-    call::Context,
-    gossip::Gossip,
-    metrics::Metrics,
-    outlet::Outlet,
+    Desk, Dialect, Settings, call::Context, gossip::Gossip, metrics::Metrics, outlet::Outlet,
     server, sync,
 };
 
@@ -44,7 +40,11 @@
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
     let follow = Arc::new(Follow::new(&registry)?);
-    let desk = Desk::new(settings.zone.clone(), settings.bounds.clone(), rand::random());
+    let desk = Desk::new(
+        settings.zone.clone(),
+        settings.bounds.clone(),
+        rand::random(),
+    );
     let context = Arc::new(Context {
         dialect,
         view: follow.view(),
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -64,7 +64,12 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("a caller's socket: {e}");
     }
-    let limits = context.view.borrow().configuration.as_ref().map(|c| c.limits.clone());
+    let limits = context
+        .view
+        .borrow()
+        .configuration
+        .as_ref()
+        .map(|c| c.limits.clone());
     let (head, idle) = limits.map_or((HEAD, IDLE), |limits| (limits.head, limits.idle_time));
     let context = context.clone();
     let service = service_fn(move |request: Request<Incoming>| {
--- a/crates/direct/src/stalls.rs
+++ b/crates/direct/src/stalls.rs
@@ -27,7 +27,10 @@
     /// Returns whether an endpoint's group is passed over for now.
     #[must_use]
     pub fn holds(&self, endpoint: &str, now: Instant) -> bool {
-        let group = self.groups.iter().find(|group| group.members.contains(endpoint));
+        let group = self
+            .groups
+            .iter()
+            .find(|group| group.members.contains(endpoint));
         group.is_some_and(|group| group.until > now)
     }
 
@@ -38,7 +41,8 @@
             since: now,
             until: now + PAUSE,
         };
-        let named = |group: &Group| group.members.contains(endpoint) || group.members.contains(at_fault);
+        let named =
+            |group: &Group| group.members.contains(endpoint) || group.members.contains(at_fault);
         for group in self.groups.extract_if(.., |group| named(group)) {
             merged.members.extend(group.members);
         }
--- a/crates/direct/src/suspect.rs
+++ b/crates/direct/src/suspect.rs
@@ -30,14 +30,17 @@
         let Some(crashes) = self.crashes.get(&fingerprint) else {
             return true;
         };
-        let recent = crashes.iter().filter(|(_, at)| now.duration_since(*at) < MEMORY);
+        let recent = crashes
+            .iter()
+            .filter(|(_, at)| now.duration_since(*at) < MEMORY);
         recent.count() < LIMIT
     }
 
     /// Notes a crash, once however often it is told.
     pub fn crashed(&mut self, fingerprint: Fingerprint, crash: Crash, now: Instant) {
         if self.crashes.len() >= CAPACITY {
-            self.crashes.retain(|_, crashes| is_recent(crashes, MEMORY, now));
+            self.crashes
+                .retain(|_, crashes| is_recent(crashes, MEMORY, now));
         }
         if self.crashes.len() >= CAPACITY && !self.crashes.contains_key(&fingerprint) {
             return;
@@ -52,7 +55,9 @@
     #[must_use]
     pub fn recent(&self, span: Duration, now: Instant) -> Vec<(Fingerprint, Crash)> {
         let all = self.crashes.iter().flat_map(|(fingerprint, crashes)| {
-            crashes.iter().map(|(crash, at)| (*fingerprint, *crash, *at))
+            crashes
+                .iter()
+                .map(|(crash, at)| (*fingerprint, *crash, *at))
         });
         all.filter(|(_, _, at)| now.duration_since(*at) < span)
             .map(|(fingerprint, crash, _)| (fingerprint, crash))
@@ -61,5 +66,7 @@
 }
 
 fn is_recent(crashes: &[(Crash, Instant)], span: Duration, now: Instant) -> bool {
-    crashes.last().is_some_and(|(_, at)| now.duration_since(*at) < span)
+    crashes
+        .last()
+        .is_some_and(|(_, at)| now.duration_since(*at) < span)
 }
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -79,7 +79,9 @@
     node::tune(&stream)?;
     let client = NewsClient::new(client::Config::default(), transport(stream)).spawn();
     let call = client.since(context::current(), after);
-    let page = time::timeout(PATIENCE, call).await.context("no answer in time")??;
+    let page = time::timeout(PATIENCE, call)
+        .await
+        .context("no answer in time")??;
     Ok(page)
 }
 
--- a/crates/direct/tests/suite/cold_rate.rs
+++ b/crates/direct/tests/suite/cold_rate.rs
@@ -15,7 +15,11 @@
         time::advance(Duration::from_millis(5)).await;
     }
     let second = Duration::from_secs(1);
-    let in_second = |from: &Instant| sent.iter().filter(|at| **at >= *from && **at < *from + second).count();
+    let in_second = |from: &Instant| {
+        sent.iter()
+            .filter(|at| **at >= *from && **at < *from + second)
+            .count()
+    };
     (sent.iter().map(in_second).max().unwrap_or(0), sent.len())
 }
 
--- a/crates/direct/tests/suite/crash_suspects.rs
+++ b/crates/direct/tests/suite/crash_suspects.rs
@@ -26,5 +26,8 @@
     assert!(!told.allows(7, Instant::now()));
     time::advance(Duration::from_secs(61)).await;
     assert!(told.allows(7, Instant::now()));
-    assert!(seen.recent(Duration::from_secs(2), Instant::now()).is_empty());
+    assert!(
+        seen.recent(Duration::from_secs(2), Instant::now())
+            .is_empty()
+    );
 }
--- a/crates/direct/tests/suite/desk_choice.rs
+++ b/crates/direct/tests/suite/desk_choice.rs
@@ -17,7 +17,10 @@
         let placement = desk.choose(&view, &send(&service), Instant::now()).unwrap();
         *counts.entry(placement.endpoint.to_string()).or_default() += 1;
     }
-    let (least, most) = (counts.values().min().unwrap(), counts.values().max().unwrap());
+    let (least, most) = (
+        counts.values().min().unwrap(),
+        counts.values().max().unwrap(),
+    );
     assert!(counts.len() == 6 && most - least <= 1, "{counts:?}");
 }
 
@@ -34,7 +37,10 @@
     }
     desk.began(&first);
     let next = desk.choose(&view, &send(&service), Instant::now()).unwrap();
-    assert_eq!(next.endpoint, first.endpoint, "the prompt is read, one request runs there");
+    assert_eq!(
+        next.endpoint, first.endpoint,
+        "the prompt is read, one request runs there"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -51,7 +57,10 @@
     for _ in 0..SLOTS {
         desk.choose(&view, &send(&service), Instant::now()).unwrap();
     }
-    assert!(desk.own_loads().iter().any(|(id, _)| id == "e0"), "old news does not count");
+    assert!(
+        desk.own_loads().iter().any(|(id, _)| id == "e0"),
+        "old news does not count"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -60,8 +69,13 @@
     for _ in 0..2 * (SLOTS + WAITING) {
         desk.choose(&view, &send(&service), Instant::now()).unwrap();
     }
-    let fault = desk.choose(&view, &send(&service), Instant::now()).unwrap_err();
-    assert_eq!((fault.kind(), fault.run()), (ErrorKind::Overloaded, Run::No));
+    let fault = desk
+        .choose(&view, &send(&service), Instant::now())
+        .unwrap_err();
+    assert_eq!(
+        (fault.kind(), fault.run()),
+        (ErrorKind::Overloaded, Run::No)
+    );
     assert!(fault.retry_time().is_some());
 }
 
@@ -71,8 +85,13 @@
     let (mut desk, view, service) = (desk(), view(2), "drafts".into());
     desk.stalled(&"e0".into(), &"e1".into(), Instant::now());
     for _ in 0..50 {
-        let fault = desk.choose(&view, &send(&service), Instant::now()).unwrap_err();
-        assert_eq!((fault.kind(), fault.run()), (ErrorKind::NoEndpoint, Run::No));
+        let fault = desk
+            .choose(&view, &send(&service), Instant::now())
+            .unwrap_err();
+        assert_eq!(
+            (fault.kind(), fault.run()),
+            (ErrorKind::NoEndpoint, Run::No)
+        );
         let wait = fault.retry_time().unwrap();
         let third = send(&service).left / 3;
         assert!(wait > third / 2 && wait <= third, "{wait:?}");
--- a/crates/direct/tests/suite/event_split.rs
+++ b/crates/direct/tests/suite/event_split.rs
@@ -5,11 +5,17 @@
     let mut splitter = Splitter::default();
     splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
     let whole = splitter.take(None);
-    assert_eq!((&whole.bytes[..], whole.last, whole.count), (&b"id: 1\ndata: a\n\n"[..], Some(1), 1));
+    assert_eq!(
+        (&whole.bytes[..], whole.last, whole.count),
+        (&b"id: 1\ndata: a\n\n"[..], Some(1), 1)
+    );
     assert!(!splitter.is_between());
     splitter.push(b"ta: b\n\n");
     let whole = splitter.take(None);
-    assert_eq!((&whole.bytes[..], whole.last), (&b"id: 2\ndata: b\n\n"[..], Some(2)));
+    assert_eq!(
+        (&whole.bytes[..], whole.last),
+        (&b"id: 2\ndata: b\n\n"[..], Some(2))
+    );
     assert!(splitter.is_between());
 }
 
@@ -18,7 +24,10 @@
     let mut splitter = Splitter::default();
     splitter.push(b"id: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n");
     let whole = splitter.take(Some(4));
-    assert_eq!((&whole.bytes[..], whole.last, whole.count), (&b"id: 5\ndata: e\n\n"[..], Some(5), 1));
+    assert_eq!(
+        (&whole.bytes[..], whole.last, whole.count),
+        (&b"id: 5\ndata: e\n\n"[..], Some(5), 1)
+    );
 }
 
 #[test]
--- a/crates/direct/tests/suite/group_stalls.rs
+++ b/crates/direct/tests/suite/group_stalls.rs
@@ -5,14 +5,18 @@
 use tokio::time::{self, Instant};
 
 fn ids(names: &[&str]) -> Vec<id::Endpoint> {
-    names.iter().map(|name| id::Endpoint::new(name)).collect()
+    names.iter().map(id::Endpoint::new).collect()
 }
 
 #[tokio::test(start_paused = true)]
 async fn only_the_group_stalls() {
     let (mut stalls, ids) = (Stalls::default(), ids(&["a1", "a2", "b1"]));
     stalls.declined(&ids[0], &ids[1], Instant::now());
-    let held = |stalls: &Stalls| ids.iter().map(|id| stalls.holds(id, Instant::now())).collect::<Vec<_>>();
+    let held = |stalls: &Stalls| {
+        ids.iter()
+            .map(|id| stalls.holds(id, Instant::now()))
+            .collect::<Vec<_>>()
+    };
     assert_eq!(held(&stalls), [true, true, false]);
     time::advance(Duration::from_millis(300)).await;
     assert_eq!(held(&stalls), [false; 3], "it is asked again");
--- a/crates/direct/tests/suite/health_pauses.rs
+++ b/crates/direct/tests/suite/health_pauses.rs
@@ -25,7 +25,10 @@
         health.broke(&id, Instant::now());
     }
     time::advance(Duration::from_secs(4)).await;
-    assert!(!health.is_paused(&id, Instant::now()), "never longer than four seconds");
+    assert!(
+        !health.is_paused(&id, Instant::now()),
+        "never longer than four seconds"
+    );
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/direct/tests/suite/retry_budget.rs
+++ b/crates/direct/tests/suite/retry_budget.rs
@@ -21,9 +21,14 @@
     for _ in 0..50 {
         budget.first(&service, Instant::now());
     }
-    let granted = (0..100).filter(|_| budget.again(&service, 7, Instant::now())).count();
+    let granted = (0..100)
+        .filter(|_| budget.again(&service, 7, Instant::now()))
+        .count();
     assert_eq!(granted, 10);
     time::advance(WINDOW).await;
-    assert!(!budget.again(&service, 7, Instant::now()), "old requests earn nothing");
+    assert!(
+        !budget.again(&service, 7, Instant::now()),
+        "old requests earn nothing"
+    );
     assert!(!budget.again(&"other".into(), 7, Instant::now()));
 }
--- a/crates/direct/tests/suite/settings_errors.rs
+++ b/crates/direct/tests/suite/settings_errors.rs
@@ -33,9 +33,15 @@
 #[test]
 fn bad_files_named() {
     let unit = load(&GOOD.replace("\"10s\"", "\"10\"")).unwrap_err();
-    assert!(unit.starts_with("entry.json:10:") && unit.contains("`bounds.retry_window`"), "{unit}");
+    assert!(
+        unit.starts_with("entry.json:10:") && unit.contains("`bounds.retry_window`"),
+        "{unit}"
+    );
     let address = load(&GOOD.replace("127.0.0.1:6", "nowhere")).unwrap_err();
-    assert!(address.starts_with("entry.json:8:") && address.contains("`store`"), "{address}");
+    assert!(
+        address.starts_with("entry.json:8:") && address.contains("`store`"),
+        "{address}"
+    );
     let missing = load(&GOOD.replace("\"zone\": \"a\",", "")).unwrap_err();
     assert!(missing.contains("zone"), "{missing}");
     let unknown = load(&GOOD.replace("\"zone\"", "\"zones\"")).unwrap_err();
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -2,7 +2,8 @@
 
 use direct::{Bounds, Desk, Send};
 use fleet::{
-    Configuration, Endpoint, Engine, Known, Limits, Repeat, Route, Service, Split, Stage, Team, View,
+    Configuration, Endpoint, Engine, Known, Limits, Repeat, Route, Service, Split, Stage, Team,
+    View,
 };
 use tokio::time::Instant;
 
@@ -74,7 +75,11 @@
             route(Repeat::Allowed, false, "/look/", "orders"),
             route(Repeat::Allowed, false, "/look/far/", "nowhere"),
         ],
-        services: [("drafts".into(), service(true)), ("orders".into(), service(false))].into(),
+        services: [
+            ("drafts".into(), service(true)),
+            ("orders".into(), service(false)),
+        ]
+        .into(),
         teams: [("key".into(), team)].into(),
         keyed: true,
         limits: Limits {
--- a/crates/direct/tests/suite/whole_path.rs
+++ b/crates/direct/tests/suite/whole_path.rs
@@ -103,14 +103,21 @@
     async fn start(script: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (seen, left) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<Mutex<u32>>::default());
+        let (seen, left) = (
+            Arc::<Mutex<Vec<String>>>::default(),
+            Arc::<Mutex<u32>>::default(),
+        );
         let (notes, leaves) = (seen.clone(), left.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(talk(stream, script.clone(), notes.clone(), leaves.clone()));
             }
         });
-        Self { address, seen, left }
+        Self {
+            address,
+            seen,
+            left,
+        }
     }
 
     fn runs(&self) -> usize {
@@ -153,7 +160,11 @@
     let mut bytes = Vec::new();
     loop {
         let mut chunk = [0; 1024];
-        let length = stream.read(&mut chunk).await.ok().filter(|length| *length > 0)?;
+        let length = stream
+            .read(&mut chunk)
+            .await
+            .ok()
+            .filter(|length| *length > 0)?;
         bytes.extend_from_slice(&chunk[..length]);
         let text = String::from_utf8_lossy(&bytes).into_owned();
         let Some((head, body)) = text.split_once("\r\n\r\n") else {
@@ -170,7 +181,9 @@
 }
 
 fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
-    request.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    request
+        .lines()
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
 }
 
 fn say(request: &str, body: &str) -> Act {
@@ -199,7 +212,10 @@
 
 /// Returns an address that is free now.
 fn free() -> SocketAddr {
-    StdListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    StdListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// Starts an entry in front of endpoints of one service and returns its address for callers.
@@ -240,9 +256,17 @@
         keys: None,
     };
     let source = Arc::new(Told(Mutex::new(Some(page))));
-    tokio::spawn(direct::run(settings, PathBuf::from("/nowhere"), Arc::new(Plain), source));
+    tokio::spawn(direct::run(
+        settings,
+        PathBuf::from("/nowhere"),
+        Arc::new(Plain),
+        source,
+    ));
     for _ in 0..200 {
-        if call(callers, "GET /nothing HTTP/1.1\r\nid: probe").await.starts_with("HTTP/1.1 404") {
+        if call(callers, "GET /nothing HTTP/1.1\r\nid: probe")
+            .await
+            .starts_with("HTTP/1.1 404")
+        {
             return callers;
         }
         time::sleep(Duration::from_millis(20)).await;
@@ -264,7 +288,11 @@
     let mut answer = Vec::new();
     let read = stream.read_to_end(&mut answer);
     // A cut answer ends with a reset, which the caller sees as an error after what it has read.
-    drop(time::timeout(PATIENCE, read).await.expect("an answer in time"));
+    drop(
+        time::timeout(PATIENCE, read)
+            .await
+            .expect("an answer in time"),
+    );
     String::from_utf8_lossy(&answer).into_owned()
 }
 
@@ -277,9 +305,16 @@
     let stand = Stand::start(Arc::new(|r| vec![say(r, "found")])).await;
     let entry = entry("orders", &[&stand]).await;
     let answer = call(entry, LOOK).await;
-    assert!(answer.starts_with("HTTP/1.1 200 OK") && answer.ends_with("found"), "{answer}");
+    assert!(
+        answer.starts_with("HTTP/1.1 200 OK") && answer.ends_with("found"),
+        "{answer}"
+    );
     let request = stand.seen.lock().unwrap()[0].clone();
-    assert_eq!(header(&request, "team"), Some("team"), "not what the caller claims");
+    assert_eq!(
+        header(&request, "team"),
+        Some("team"),
+        "not what the caller claims"
+    );
     assert_eq!(header(&request, "key"), None, "{request}");
     assert_eq!(header(&request, "endpoint"), Some("e0"));
 }
@@ -301,14 +336,23 @@
     }
     let before = broken.runs() + sound.runs();
     let answer = call(entry, ORDER).await;
-    assert!(answer.starts_with("HTTP/1.1 502") || answer.ends_with("found"), "{answer}");
-    assert_eq!(broken.runs() + sound.runs(), before + 1, "an order is sent once");
+    assert!(
+        answer.starts_with("HTTP/1.1 502") || answer.ends_with("found"),
+        "{answer}"
+    );
+    assert_eq!(
+        broken.runs() + sound.runs(),
+        before + 1,
+        "an order is sent once"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn order_after_refusal() {
     let full = |_: &str| {
-        vec![Act::Say("HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned())]
+        vec![Act::Say(
+            "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned(),
+        )]
     };
     let full = Stand::start(Arc::new(full)).await;
     let sound = Stand::start(Arc::new(|r| vec![say(r, "done")])).await;
@@ -330,7 +374,10 @@
     let entry = entry("orders", &[&stand]).await;
     for request in [LOOK, ORDER] {
         let answer = call(entry, request).await;
-        assert!(answer.starts_with("HTTP/1.1 502") && !answer.contains("secret"), "{answer}");
+        assert!(
+            answer.starts_with("HTTP/1.1 502") && !answer.contains("secret"),
+            "{answer}"
+        );
     }
 }
 
@@ -338,7 +385,11 @@
 async fn surplus_answer_dropped() {
     let surplus = |r: &str| {
         let late = "HTTP/1.1 200 OK\r\nid: r0\r\nsigned: yes\r\ncontent-length: 6\r\n\r\nsecret";
-        vec![say(r, "found"), Act::Wait(Duration::from_millis(30)), Act::Say(late.to_owned())]
+        vec![
+            say(r, "found"),
+            Act::Wait(Duration::from_millis(30)),
+            Act::Say(late.to_owned()),
+        ]
     };
     let stand = Stand::start(Arc::new(surplus)).await;
     let entry = entry("orders", &[&stand]).await;
@@ -365,10 +416,16 @@
             vec![open_stream(r), event(2), event(3), event(4), end()]
         }
     };
-    let stands = [Stand::start(Arc::new(script)).await, Stand::start(Arc::new(script)).await];
+    let stands = [
+        Stand::start(Arc::new(script)).await,
+        Stand::start(Arc::new(script)).await,
+    ];
     let entry = entry("drafts", &[&stands[0], &stands[1]]).await;
     let answer = call(entry, DRAFT).await;
-    let ids: Vec<&str> = answer.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    let ids: Vec<&str> = answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
     assert_eq!(ids, ["r1", "1", "2", "3", "4"], "{answer}");
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
 }
@@ -379,7 +436,10 @@
     let stand = Stand::start(Arc::new(script)).await;
     let entry = entry("drafts", &[&stand]).await;
     let answer = call(entry, DRAFT).await;
-    assert!(answer.contains("data: x") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert!(
+        answer.contains("data: x") && !answer.ends_with("0\r\n\r\n"),
+        "{answer}"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -407,20 +467,44 @@
     let entry = entry("orders", &[&stand]).await;
     let large = "x".repeat(5000);
     let cases = [
-        ("GET /look/1 HTTP/1.1\r\nid: r1\r\nkey: unknown".to_owned(), "401"),
+        (
+            "GET /look/1 HTTP/1.1\r\nid: r1\r\nkey: unknown".to_owned(),
+            "401",
+        ),
         ("GET /look/1 HTTP/1.1\r\nid: r1".to_owned(), "401"),
-        ("GET /looks HTTP/1.1\r\nid: r1\r\nkey: key".to_owned(), "404"),
+        (
+            "GET /looks HTTP/1.1\r\nid: r1\r\nkey: key".to_owned(),
+            "404",
+        ),
         ("GET /look/1 HTTP/1.1\r\nkey: key".to_owned(), "400"),
-        (format!("POST /order/1 HTTP/1.1\r\nid: r1\r\nkey: key\r\n\r\n{large}"), "413"),
-        ("GET /look/far/1 HTTP/1.1\r\nid: r1\r\nkey: key".to_owned(), "503"),
-        (format!("GET /look/1 HTTP/1.1\r\nid: r1\r\nkey: {}", "k".repeat(70_000)), "431"),
+        (
+            format!("POST /order/1 HTTP/1.1\r\nid: r1\r\nkey: key\r\n\r\n{large}"),
+            "413",
+        ),
+        (
+            "GET /look/far/1 HTTP/1.1\r\nid: r1\r\nkey: key".to_owned(),
+            "503",
+        ),
+        (
+            format!(
+                "GET /look/1 HTTP/1.1\r\nid: r1\r\nkey: {}",
+                "k".repeat(70_000)
+            ),
+            "431",
+        ),
         ("bad request line".to_owned(), "400"),
     ];
     for (request, status) in cases {
         let answer = call(entry, &request).await;
         let shown: String = request.chars().take(60).collect();
-        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{shown}: {answer}");
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{shown}: {answer}"
+        );
     }
     assert_eq!(stand.runs(), 0);
-    assert!(call(entry, LOOK).await.ends_with("found"), "the entry goes on");
+    assert!(
+        call(entry, LOOK).await.ends_with("found"),
+        "the entry goes on"
+    );
 }
--- a/crates/event/src/lines.rs
+++ b/crates/event/src/lines.rs
@@ -82,10 +82,18 @@
 fn format(now: &mut DeferredNow, record: &Record<'_>) -> Vec<u8> {
     let mut fields = Fields::default();
     let text = |value: String| serde_json::Value::String(value);
-    let time = now.now_utc_owned().format("%Y-%m-%dT%H:%M:%S%.3fZ").to_string();
+    let time = now
+        .now_utc_owned()
+        .format("%Y-%m-%dT%H:%M:%S%.3fZ")
+        .to_string();
     fields.0.insert("time".into(), text(time));
-    fields.0.insert("level".into(), text(record.level().to_string().to_lowercase()));
-    fields.0.insert("event".into(), text(record.args().to_string()));
+    fields.0.insert(
+        "level".into(),
+        text(record.level().to_string().to_lowercase()),
+    );
+    fields
+        .0
+        .insert("event".into(), text(record.args().to_string()));
     if record.key_values().visit(&mut fields).is_err() {
         fields.0.insert("incomplete".into(), true.into());
     }
@@ -126,7 +134,9 @@
         let lost = dropped.swap(0, Ordering::Relaxed);
         let mut text = line;
         if lost > 0 {
-            let note = format!("{{\"event\":\"log lines dropped\",\"level\":\"warn\",\"count\":{lost}}}\n");
+            let note = format!(
+                "{{\"event\":\"log lines dropped\",\"level\":\"warn\",\"count\":{lost}}}\n"
+            );
             text.extend_from_slice(note.as_bytes());
         }
         // Standard output is gone for good if a write fails; there is nowhere to tell it.
--- a/crates/expert/src/balance.rs
+++ b/crates/expert/src/balance.rs
@@ -52,7 +52,12 @@
     /// Returns the placement that engines start with: experts in turn.
     #[must_use]
     pub fn initial(sets: usize, experts: usize, ranks: usize) -> Placement {
-        let rank = |r: usize| (r..experts).step_by(ranks.max(1)).map(|e| e as u16).collect();
+        let rank = |r: usize| {
+            (r..experts)
+                .step_by(ranks.max(1))
+                .map(|e| e as u16)
+                .collect()
+        };
         vec![(0..ranks).map(rank).collect(); sets]
     }
 
@@ -60,7 +65,9 @@
     #[must_use]
     pub fn skew(placement: &Placement, popularity: &[Vec<f64>]) -> f64 {
         let sets = placement.iter().zip(popularity);
-        let sum: f64 = sets.map(|(ranks, weights)| Set::new(ranks, weights).skew()).sum();
+        let sum: f64 = sets
+            .map(|(ranks, weights)| Set::new(ranks, weights).skew())
+            .sum();
         sum / placement.len().max(1) as f64
     }
 
@@ -144,7 +151,10 @@
         dropped: Option<u16>,
     },
     /// Exchanges two experts that no other rank holds.
-    Swap { hot: (usize, u16), cold: (usize, u16) },
+    Swap {
+        hot: (usize, u16),
+        cold: (usize, u16),
+    },
 }
 
 impl Move {
@@ -255,14 +265,25 @@
                 continue;
             }
             if self.ranks[cold].len() < places {
-                moves.push(Move::Copy { expert, rank: cold, dropped: None });
+                moves.push(Move::Copy {
+                    expert,
+                    rank: cold,
+                    dropped: None,
+                });
                 continue;
             }
             for &other in &self.ranks[cold] {
                 if !single(other) {
-                    moves.push(Move::Copy { expert, rank: cold, dropped: Some(other) });
+                    moves.push(Move::Copy {
+                        expert,
+                        rank: cold,
+                        dropped: Some(other),
+                    });
                 } else if single(expert) && !self.ranks[hot].contains(&other) {
-                    moves.push(Move::Swap { hot: (hot, expert), cold: (cold, other) });
+                    moves.push(Move::Swap {
+                        hot: (hot, expert),
+                        cold: (cold, other),
+                    });
                 }
             }
         }
@@ -272,17 +293,25 @@
     /// Changes loads as a move does.
     fn shift(&self, next: Move, loads: &mut [f64]) {
         match next {
-            Move::Copy { expert, rank, dropped } => {
+            Move::Copy {
+                expert,
+                rank,
+                dropped,
+            } => {
                 let (weight, holders) = self.weight(expert);
                 let share = weight / (holders.len() + 1) as f64;
                 let old = weight / holders.len().max(1) as f64;
-                holders.iter().for_each(|holder| loads[*holder] += share - old);
+                holders
+                    .iter()
+                    .for_each(|holder| loads[*holder] += share - old);
                 loads[rank] += share;
                 if let Some(dropped) = dropped {
                     let (weight, holders) = self.weight(dropped);
                     let old = weight / holders.len() as f64;
                     let share = weight / (holders.len() - 1).max(1) as f64;
-                    holders.iter().for_each(|holder| loads[*holder] += share - old);
+                    holders
+                        .iter()
+                        .for_each(|holder| loads[*holder] += share - old);
                     loads[rank] -= share;
                 }
             }
@@ -304,7 +333,11 @@
         self.shift(next, &mut loads);
         self.loads = loads;
         match next {
-            Move::Copy { expert, rank, dropped } => {
+            Move::Copy {
+                expert,
+                rank,
+                dropped,
+            } => {
                 if let Some(dropped) = dropped {
                     self.remove(dropped, rank);
                 }
--- a/crates/expert/tests/suite/even_shares.rs
+++ b/crates/expert/tests/suite/even_shares.rs
@@ -33,13 +33,19 @@
 fn check(before: &Placement, after: &Placement, room: Room) {
     for (old, new) in before.iter().zip(after) {
         for expert in 0..EXPERTS as u16 {
-            assert!(new.iter().any(|rank| rank.contains(&expert)), "expert {expert} is lost");
+            assert!(
+                new.iter().any(|rank| rank.contains(&expert)),
+                "expert {expert} is lost"
+            );
         }
         for (old, new) in old.iter().zip(new) {
             let mut unique = new.clone();
             unique.sort_unstable();
             unique.dedup();
-            assert!(new.len() <= room.places && unique.len() == new.len(), "{new:?}");
+            assert!(
+                new.len() <= room.places && unique.len() == new.len(),
+                "{new:?}"
+            );
             assert!(new.iter().filter(|e| !old.contains(e)).count() <= room.fresh);
         }
     }
@@ -87,7 +93,11 @@
             .collect();
         let before = Balancer::skew(&placement, &mixed);
         let step = Balancer::new(ROOM, PRICE).plan(&placement, &mixed).unwrap();
-        assert!(step.skew.1 < 1.0 + (before - 1.0) / 2.0, "seed {seed}: {:?}", step.skew);
+        assert!(
+            step.skew.1 < 1.0 + (before - 1.0) / 2.0,
+            "seed {seed}: {:?}",
+            step.skew
+        );
     }
 }
 
@@ -95,7 +105,10 @@
 fn even_load_stays() {
     let popularity = vec![vec![1.0; EXPERTS]; SETS];
     let placement = Balancer::initial(SETS, EXPERTS, RANKS);
-    assert_eq!(Balancer::new(ROOM, PRICE).plan(&placement, &popularity), None);
+    assert_eq!(
+        Balancer::new(ROOM, PRICE).plan(&placement, &popularity),
+        None
+    );
 }
 
 #[test]
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -16,7 +16,7 @@
 /// Pause after changes, so that those that follow closely come with one call.
 ///
 /// A fraction of the smallest bound on taking up a change, two seconds.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(400);
 /// Time between looks for lapsed endpoints.
 const TICK: Duration = Duration::from_millis(250);
 
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -106,7 +106,8 @@
         for item in self.items.values() {
             match &item.fact {
                 Fact::Endpoint(id, endpoint) => {
-                    view.endpoints.insert(id.clone(), self.known(id, endpoint, item.revision, now));
+                    view.endpoints
+                        .insert(id.clone(), self.known(id, endpoint, item.revision, now));
                 }
                 Fact::ZoneOut(zone) => {
                     view.zones_out.insert(zone.clone());
@@ -170,8 +171,15 @@
     /// Forgets lapsed endpoints whose time has passed.
     pub fn expire(&mut self, now: Instant) -> Vec<Learned> {
         let over = |until: &Instant| *until <= now;
-        let gone: Vec<_> = self.lapsed.iter().filter(|(_, (_, until))| over(until)).collect();
-        let learned = gone.iter().map(|(id, _)| Learned::Gone((*id).clone())).collect();
+        let gone: Vec<_> = self
+            .lapsed
+            .iter()
+            .filter(|(_, (_, until))| over(until))
+            .collect();
+        let learned = gone
+            .iter()
+            .map(|(id, _)| Learned::Gone((*id).clone()))
+            .collect();
         self.lapsed.retain(|_, (_, until)| !over(until));
         learned
     }
--- a/crates/fleet/tests/suite/lapsed_entries.rs
+++ b/crates/fleet/tests/suite/lapsed_entries.rs
@@ -15,7 +15,10 @@
 
 fn known() -> Mirror {
     let mut mirror = Mirror::default();
-    mirror.take(page(vec![endpoint("e1", Stage::Ready, 1)], 1), Instant::now());
+    mirror.take(
+        page(vec![endpoint("e1", Stage::Ready, 1)], 1),
+        Instant::now(),
+    );
     mirror
 }
 
@@ -27,7 +30,11 @@
     mirror.disturb(Instant::now());
     time::advance(Duration::from_secs(1)).await;
     mirror.take(page(vec![removed("servers/e1", 2)], 2), Instant::now());
-    assert_eq!(open(&mirror), 1, "it may have lapsed while the store was away");
+    assert_eq!(
+        open(&mirror),
+        1,
+        "it may have lapsed while the store was away"
+    );
     time::advance(LEAVING - Duration::from_millis(500)).await;
     assert_eq!(open(&mirror), 0, "also without a look by the clock");
 }
@@ -46,7 +53,10 @@
     mirror.disturb(Instant::now());
     mirror.take(page(vec![removed("servers/e1", 2)], 2), Instant::now());
     time::advance(Duration::from_millis(500)).await;
-    mirror.take(page(vec![endpoint("e1", Stage::Ready, 3)], 3), Instant::now());
+    mirror.take(
+        page(vec![endpoint("e1", Stage::Ready, 3)], 3),
+        Instant::now(),
+    );
     time::advance(Duration::from_secs(10)).await;
     assert_eq!(open(&mirror), 1);
     assert!(mirror.expire(Instant::now()).is_empty());
--- a/crates/fleet/tests/suite/store_follower.rs
+++ b/crates/fleet/tests/suite/store_follower.rs
@@ -63,7 +63,10 @@
         Ok(page(vec![configuration(2, 9)], 9)),
     ]);
     let follow = follow(&script).await;
-    assert_eq!(*script.asked.lock().unwrap(), ["list", "watch 1", "list", "watch 9"]);
+    assert_eq!(
+        *script.asked.lock().unwrap(),
+        ["list", "watch 1", "list", "watch 9"]
+    );
     assert_eq!(follow.position(), (9, 9, 2));
 }
 
@@ -79,6 +82,9 @@
     ]);
     let follow = follow(&script).await;
     let asked = script.asked.lock().unwrap().clone();
-    assert_eq!(asked, ["list", "list", "watch 1", "watch 1", "watch 1", "watch 2"]);
+    assert_eq!(
+        asked,
+        ["list", "list", "watch 1", "watch 1", "watch 1", "watch 2"]
+    );
     assert_eq!(follow.view().borrow().endpoints.len(), 1);
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,5 +24,5 @@
 pub use operator::{Operator, Parts, Status};
 pub use overlay::Overlay;
 pub use setup::{Command, Ready, command, fail, settings, start};
-pub use tune::tune;
 pub use signal::{Shutdown, shutdown};
+pub use tune::tune;
--- a/crates/steer/src/beacon.rs
+++ b/crates/steer/src/beacon.rs
@@ -57,7 +57,9 @@
 /// Lists the machines of a service's other endpoints; an agent stands on each.
 fn others(view: &View, service: &str, own: IpAddr) -> Vec<IpAddr> {
     let endpoints = view.endpoints.values().map(|known| &known.endpoint);
-    let ips = endpoints.filter(|e| e.service == service).map(|e| e.address.ip());
+    let ips = endpoints
+        .filter(|e| e.service == service)
+        .map(|e| e.address.ip());
     ips.filter(|ip| *ip != own).collect()
 }
 
--- a/crates/steer/src/crew.rs
+++ b/crates/steer/src/crew.rs
@@ -82,7 +82,8 @@
     /// Returns the group that this agent leads, and its life.
     pub(crate) fn leads(&self) -> Option<(SmolStr, Epoch)> {
         let led = self.led.lock().unwrap_or_else(PoisonError::into_inner);
-        led.as_ref().map(|(group, lead)| (group.clone(), lead.epoch()))
+        led.as_ref()
+            .map(|(group, lead)| (group.clone(), lead.epoch()))
     }
 
     /// Reports to the leader; `None` if there is none to report to.
@@ -108,7 +109,9 @@
             _ => connect(address).await?,
         };
         let call = client.meet(context::current(), group.name.clone(), group.rank, status);
-        let instructions = time::timeout(PATIENCE, call).await.context("no answer in time")??;
+        let instructions = time::timeout(PATIENCE, call)
+            .await
+            .context("no answer in time")??;
         *link = Some((address, client));
         Ok(instructions)
     }
--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -141,7 +141,11 @@
             _ => PAUSES.1,
         };
         if status.epoch < self.epoch || rank >= self.ranks {
-            return Instructions { order: None, list: false, pause: PAUSES.0 };
+            return Instructions {
+                order: None,
+                list: false,
+                pause: PAUSES.0,
+            };
         }
         self.heard[rank] = Some(now);
         if !status.fresh.is_empty() {
@@ -221,7 +225,10 @@
     }
 
     fn margin(&self) -> Pass {
-        let span = self.pass.map_or(PASS, |(_, _, span)| span).max(Duration::from_millis(1));
+        let span = self
+            .pass
+            .map_or(PASS, |(_, _, span)| span)
+            .max(Duration::from_millis(1));
         let passes = LEAD_TIME.as_secs_f64() / span.as_secs_f64();
         (passes.ceil() as Pass).max(LEAST_MARGIN)
     }
@@ -229,7 +236,9 @@
     fn advance(&mut self, now: Instant) {
         match self.switch.advance(self.margin(), now) {
             Progress::None => {}
-            Progress::Step(phase) => log::info!(epoch = self.epoch, phase:? = phase; "switch goes on"),
+            Progress::Step(phase) => {
+                log::info!(epoch = self.epoch, phase:? = phase; "switch goes on")
+            }
             Progress::Ended(Some((version, placement))) => {
                 let skew = Balancer::skew(&placement, &self.tally.popularity());
                 log::info!(epoch = self.epoch, map = version, skew = format!("{skew:.3}"); "map is in use");
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -62,7 +62,9 @@
         let mut experts = set.clone();
         experts.sort_unstable();
         hash.update(&experts.len().to_le_bytes());
-        experts.iter().for_each(|expert| hash.update(&expert.to_le_bytes()));
+        experts
+            .iter()
+            .for_each(|expert| hash.update(&expert.to_le_bytes()));
     }
     hash.digest()
 }
@@ -121,7 +123,10 @@
         let Some(group) = report.group.clone() else {
             return Ok(ALONE);
         };
-        let counts = self.counted.as_ref().map_or(0, |counts| counts.counts.len());
+        let counts = self
+            .counted
+            .as_ref()
+            .map_or(0, |counts| counts.counts.len());
         let pause = COUNTING.1 * u32::try_from(counts).unwrap_or(u32::MAX);
         let pause = pause.max(COUNTING.0);
         let due = self.counted_at.is_none_or(|at| at.elapsed() >= pause);
@@ -163,14 +168,23 @@
     }
 
     async fn status(&mut self, report: &Report) -> anyhow::Result<Status> {
-        let group = report.group.as_ref().ok_or_else(|| anyhow::anyhow!("no group"))?;
+        let group = report
+            .group
+            .as_ref()
+            .ok_or_else(|| anyhow::anyhow!("no group"))?;
         let known = (group.epoch, report.map, report.prepared);
-        let stale = self.lists.as_ref().is_none_or(|(e, m, p, _)| (*e, *m, *p) != known);
+        let stale = self
+            .lists
+            .as_ref()
+            .is_none_or(|(e, m, p, _)| (*e, *m, *p) != known);
         if stale && (report.prepared.is_some() || self.list) {
             let lists = time::timeout(ANSWER, self.engine.lists()).await??;
             self.lists = Some((group.epoch, report.map, report.prepared, lists));
         }
-        let lists = self.lists.as_ref().filter(|(e, m, p, _)| (*e, *m, *p) == known);
+        let lists = self
+            .lists
+            .as_ref()
+            .filter(|(e, m, p, _)| (*e, *m, *p) == known);
         let prepared = lists.and_then(|(.., lists)| lists.prepared.as_ref());
         let prepared = prepared.filter(|list| Some(list.version) == report.prepared);
         let map = lists.map(|(.., lists)| &lists.map);
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -33,8 +33,12 @@
     let follow = Arc::new(Follow::new(&registry)?);
     let crew = Crew::new(settings.map);
     let peers = settings.listen.peers;
-    let socket = UdpSocket::bind(peers).await.context("field `listen.peers`")?;
-    let listener = TcpListener::bind(peers).await.context("field `listen.peers`")?;
+    let socket = UdpSocket::bind(peers)
+        .await
+        .context("field `listen.peers`")?;
+    let listener = TcpListener::bind(peers)
+        .await
+        .context("field `listen.peers`")?;
     let operators = TcpListener::bind(settings.listen.operators)
         .await
         .context("field `listen.operators`")?;
@@ -42,7 +46,13 @@
     tokio::spawn(crew::serve(listener, crew.clone()));
     let view = follow.view();
     let service = settings.service.clone();
-    tokio::spawn(beacon::run(socket, peers, service.clone(), crew.clone(), view));
+    tokio::spawn(beacon::run(
+        socket,
+        peers,
+        service.clone(),
+        crew.clone(),
+        view,
+    ));
     tokio::spawn(Member::new(engine.clone(), crew.clone()).run());
     tokio::spawn(follow_when_leading(service, crew, follow, source));
     loop {
@@ -77,7 +87,10 @@
             },
         }
         let view = view.borrow_and_update().clone();
-        let service = view.configuration.as_ref().and_then(|c| c.services.get(&service));
+        let service = view
+            .configuration
+            .as_ref()
+            .and_then(|c| c.services.get(&service));
         if let Some(engine) = service.and_then(|s| s.engine.as_ref()) {
             crew.allow(engine.places, engine.fresh, engine.copy_time);
         }
--- a/crates/steer/src/switch.rs
+++ b/crates/steer/src/switch.rs
@@ -127,7 +127,10 @@
     #[must_use]
     pub fn free_version(&self) -> Version {
         let told = self.ranks.iter().filter_map(|slot| slot.status.as_ref());
-        let highest = told.flat_map(|s| [Some(s.map), s.prepared, s.armed]).flatten().max();
+        let highest = told
+            .flat_map(|s| [Some(s.map), s.prepared, s.armed])
+            .flatten()
+            .max();
         highest.unwrap_or(0) + 1
     }
 }
@@ -196,12 +199,17 @@
                     let version = self.next.as_ref()?.version;
                     Some(Phase::Arming { version, pass })
                 }
-                _ if first.pass >= pass => Some(Phase::Holding { pass: first.pass + margin }),
+                _ if first.pass >= pass => Some(Phase::Holding {
+                    pass: first.pass + margin,
+                }),
                 _ => None,
             },
             Phase::Arming { version, pass } => {
                 let armed = self.all(|_, s| s.armed == Some(version));
-                armed.then_some(Phase::Releasing { version: Some(version), pass })
+                armed.then_some(Phase::Releasing {
+                    version: Some(version),
+                    pass,
+                })
             }
             Phase::Releasing { version, pass } => {
                 let begun = first.pass >= pass && first.held.is_none();
@@ -220,7 +228,10 @@
         // Arms are sent only after all ranks have prepared, so that without that none is under way.
         match prepared.filter(|_| same) {
             Some(version) => Some(Phase::Arming { version, pass }),
-            None => Some(Phase::Releasing { version: None, pass }),
+            None => Some(Phase::Releasing {
+                version: None,
+                pass,
+            }),
         }
     }
 
@@ -236,7 +247,10 @@
     }
 
     fn any(&self, holds: impl Fn(&Status) -> bool) -> bool {
-        self.ranks.iter().filter_map(|slot| slot.status.as_ref()).any(holds)
+        self.ranks
+            .iter()
+            .filter_map(|slot| slot.status.as_ref())
+            .any(holds)
     }
 
     /// Returns the order that a rank needs now.
--- a/crates/steer/tests/suite/lead_plans.rs
+++ b/crates/steer/tests/suite/lead_plans.rs
@@ -57,7 +57,9 @@
     let mut fresh = vec![10; EXPERTS];
     fresh[0] = 400;
     let told = meet(&mut lead(), &fresh).await;
-    let prepares = told.iter().filter(|i| matches!(i.order, Some(Order::Prepare { .. })));
+    let prepares = told
+        .iter()
+        .filter(|i| matches!(i.order, Some(Order::Prepare { .. })));
     assert_eq!(prepares.count(), RANKS, "{told:?}");
 }
 
@@ -73,7 +75,10 @@
     let mut fresh = vec![10; EXPERTS];
     fresh[0] = 400;
     let told = meet(&mut lead, &fresh).await;
-    assert!(told.iter().all(|i| i.order.is_none()), "no configuration names the sizes yet");
+    assert!(
+        told.iter().all(|i| i.order.is_none()),
+        "no configuration names the sizes yet"
+    );
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/steer/tests/suite/switch_model.rs
+++ b/crates/steer/tests/suite/switch_model.rs
@@ -158,7 +158,8 @@
             Fault::SkipsDigest => 1,
             _ => next.switch.free_version() + Version::from(next.starts),
         };
-        next.switch.start(version, placement(next.starts), next.base);
+        next.switch
+            .start(version, placement(next.starts), next.base);
         next
     }
 
@@ -182,7 +183,10 @@
         next.epoch += 1;
         for rank in &mut next.ranks {
             let flight = std::mem::take(&mut rank.flight);
-            *rank = Rank { flight, ..Rank::default() };
+            *rank = Rank {
+                flight,
+                ..Rank::default()
+            };
         }
         next
     }
@@ -213,7 +217,11 @@
             }
         }
         // A placement differs between ranks, so that contents are compared by the switch they belong to.
-        let contents = next.ranks.iter().enumerate().map(|(index, rank)| content(rank.map, index));
+        let contents = next
+            .ranks
+            .iter()
+            .enumerate()
+            .map(|(index, rank)| content(rank.map, index));
         let contents: Vec<_> = contents.collect();
         next.mixed = contents.iter().any(|content| *content != contents[0]);
         Some(next)
@@ -294,7 +302,11 @@
 /// Placement of the switch with a number.
 fn placement(start: u8) -> Placement {
     let start = u16::from(start);
-    vec![(0..RANKS as u16).map(|rank| vec![rank, 10 + start]).collect()]
+    vec![
+        (0..RANKS as u16)
+            .map(|rank| vec![rank, 10 + start])
+            .collect(),
+    ]
 }
 
 fn list_digest(placement: &Placement, rank: usize) -> u64 {
@@ -318,7 +330,10 @@
     for world in bfs_reach(World::new(Fault::None), World::successors) {
         states += 1;
         assert!(!world.mixed, "{world:?}");
-        let same = world.ranks.iter().all(|rank| rank.map.0 == world.ranks[0].map.0);
+        let same = world
+            .ranks
+            .iter()
+            .all(|rank| rank.map.0 == world.ranks[0].map.0);
         switched += usize::from(same && world.ranks[0].map.0 > 0);
     }
     println!("{states} states, {switched} of them on another map");
@@ -343,7 +358,12 @@
 
 #[tokio::test(start_paused = true)]
 async fn seeded_faults_found() {
-    for fault in [Fault::SkipsArmed, Fault::SkipsHeld, Fault::SkipsDigest, Fault::IgnoresEpoch] {
+    for fault in [
+        Fault::SkipsArmed,
+        Fault::SkipsHeld,
+        Fault::SkipsDigest,
+        Fault::IgnoresEpoch,
+    ] {
         let path = explore(fault).unwrap_or_else(|| panic!("{fault:?} is not found"));
         println!("{fault:?}: {} steps to a mixed pass", path.len() - 1);
     }
