Give a new process few repeats, tell of endpoints that are gone, and print a request's story from logs

Ruled out: the ratio (0.2 of own requests). Change: in its first window an entry reckons with 64; endpoints that are gone are told to the other entries.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -2,7 +2,7 @@
 
 use clap::{ArgMatches, Command};
 
-use crate::{check, diff, keys, report::Report, status, timeline, verdict, wait};
+use crate::{check, diff, keys, report::Report, status, story, timeline, verdict, wait};
 
 /// Makes the command line.
 #[must_use]
@@ -18,6 +18,7 @@
             diff::command(),
             keys::command(),
             status::command(),
+            story::command(),
             timeline::command(),
             verdict::command(),
             wait::command(),
@@ -32,6 +33,7 @@
 pub async fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     match matches.subcommand() {
         Some(("keys", matches)) => keys::run(matches),
+        Some(("story", matches)) => story::run(matches),
         Some(("timeline", matches)) => timeline::run(matches).await,
         Some((_, inner)) => {
             let report = report(matches).await?;
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -8,6 +8,9 @@
 
 use crate::share;
 
+/// Entries that a process reckons with in its first window, above what the users' sites have.
+const UNKNOWN: usize = 64;
+
 /// Limits sends beyond the first of each request, per service, over a sliding window.
 ///
 /// All entries together stay within the fleet's budget: each has its own requests' ratio and an
@@ -17,6 +20,8 @@
     ratio: f64,
     extra: f64,
     window: Duration,
+    /// When the process started; it does not know what its earlier life has used.
+    started: Instant,
     services: HashMap<id::Service, Usage>,
 }
 
@@ -29,11 +34,12 @@
 impl Budget {
     /// Creates a budget of `ratio` repeats for each request plus `extra` in each `window`.
     #[must_use]
-    pub fn new(ratio: f64, extra: f64, window: Duration) -> Self {
+    pub fn new(ratio: f64, extra: f64, window: Duration, started: Instant) -> Self {
         Self {
             ratio,
             extra,
             window,
+            started,
             services: HashMap::new(),
         }
     }
@@ -46,10 +52,19 @@
     }
 
     /// Takes one repeat, if one of `entries` entries still may.
+    ///
+    /// In its first window a process has only a small part of the fixed allowance: its earlier life may
+    /// have used its own, and it may not have heard of all entries yet.
     pub fn again(&mut self, service: &id::Service, entries: usize, now: Instant) -> bool {
         let usage = self.services.entry(service.clone()).or_default();
         share::forget(&mut usage.first, self.window, now);
         share::forget(&mut usage.again, self.window, now);
+        let settled = now.duration_since(self.started) >= self.window;
+        let entries = if settled {
+            entries
+        } else {
+            entries.max(UNKNOWN)
+        };
         let allowed = self.ratio * usage.first.len() as f64 + self.extra / entries.max(1) as f64;
         if usage.again.len() as f64 + 1.0 > allowed {
             return false;
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -105,8 +105,13 @@
 impl Desk {
     /// Creates a desk of an entry in a zone.
     #[must_use]
-    pub fn new(zone: id::Zone, bounds: Bounds, seed: u64) -> Self {
-        let budget = Budget::new(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window);
+    pub fn new(zone: id::Zone, bounds: Bounds, seed: u64, now: Instant) -> Self {
+        let budget = Budget::new(
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window,
+            now,
+        );
         Self {
             zone,
             entries: bounds.entries,
@@ -291,6 +296,17 @@
         self.loads.own()
     }
 
+    /// Returns the endpoints that were found to be gone within `span`.
+    #[must_use]
+    pub fn missing(&self, span: Duration, now: Instant) -> Vec<id::Endpoint> {
+        self.health.missing(span, now)
+    }
+
+    /// Notes that another entry found an endpoint to be gone.
+    pub fn hear_missing(&mut self, endpoint: &id::Endpoint, now: Instant) {
+        self.health.hear_missing(endpoint, now);
+    }
+
     /// Returns the crashes that were noted within `span`.
     #[must_use]
     pub fn crashes(&self, span: Duration, now: Instant) -> Vec<(Fingerprint, Crash)> {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -34,6 +34,8 @@
 const SEED_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which crashes are told.
 const CRASHES: Duration = Duration::from_secs(2);
+/// Time for which an endpoint that is gone is told.
+const MISSING: Duration = Duration::from_millis(600);
 /// Time that the store gets to tell what another entry knows already.
 const LAG: Duration = Duration::from_millis(150);
 /// Addresses of other entries in one message.
@@ -56,6 +58,8 @@
     loads: Vec<(id::Endpoint, Load)>,
     /// Requests under which endpoints broke off lately.
     crashes: Vec<(Fingerprint, Crash)>,
+    /// Endpoints that the sender found to be gone, though their entries still stand.
+    missing: Vec<id::Endpoint>,
     /// Other entries that the sender knows.
     known: Vec<SocketAddr>,
 }
@@ -166,12 +170,15 @@
     ) {
         loads.truncate(TOLD);
         let (_, newest, _) = self.follow.position();
+        let mut missing = self.context.decide(|desk| desk.missing(MISSING, now));
+        missing.truncate(TOLD);
         let rumor = Rumor {
             process: self.process.clone(),
             teacher: self.teacher,
             newest,
             loads,
             crashes: self.context.decide(|desk| desk.crashes(CRASHES, now)),
+            missing,
             known: lock(&self.members).keys().copied().take(NAMED).collect(),
         };
         let bytes = match rmp_serde::to_vec(&rumor) {
@@ -226,6 +233,9 @@
         }
         self.context.decide(|desk| {
             desk.hear(&rumor.process, rumor.loads, now);
+            for endpoint in &rumor.missing {
+                desk.hear_missing(endpoint, now);
+            }
             for (fingerprint, crash) in rumor.crashes {
                 desk.crashed(fingerprint, crash, now);
             }
--- a/crates/direct/src/health.rs
+++ b/crates/direct/src/health.rs
@@ -24,6 +24,8 @@
     pause: Duration,
     until: Option<Instant>,
     failures: f64,
+    /// When another endpoint was found at its address.
+    missing: Option<Instant>,
 }
 
 impl Health {
@@ -75,6 +77,26 @@
     pub fn left(&mut self, endpoint: &id::Endpoint, now: Instant) {
         let record = self.endpoints.entry(endpoint.clone()).or_default();
         record.until = Some(now + PAUSES.1);
+        record.missing = Some(now);
+    }
+
+    /// Passes an endpoint over since another entry found it to be gone.
+    pub fn hear_missing(&mut self, endpoint: &id::Endpoint, now: Instant) {
+        let record = self.endpoints.entry(endpoint.clone()).or_default();
+        let until = record.until.unwrap_or(now).max(now + PAUSES.0);
+        record.until = Some(until);
+    }
+
+    /// Lists the endpoints that this process found to be gone within `span`.
+    #[must_use]
+    pub fn missing(&self, span: Duration, now: Instant) -> Vec<id::Endpoint> {
+        let recent = |record: &Record| {
+            record
+                .missing
+                .is_some_and(|at| now.duration_since(at) < span)
+        };
+        let missing = self.endpoints.iter().filter(|(_, record)| recent(record));
+        missing.map(|(endpoint, _)| endpoint.clone()).collect()
     }
 
     /// Forgets endpoints that are no longer known.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -46,16 +46,26 @@
             Ok(gauge)
         };
         Ok(Self {
-            requests: counter("direct_requests_total", "Requests by outcome.", "outcome")?,
+            requests: counter(
+                "apricot_direct_requests_total",
+                "Requests by outcome.",
+                "outcome",
+            )?,
             sends: counter(
-                "direct_sends_total",
+                "apricot_direct_sends_total",
                 "Sends to endpoints by outcome.",
                 "outcome",
             )?,
-            first_byte: histogram("direct_first_byte_seconds", "Arrival to first byte.")?,
-            whole: histogram("direct_answer_seconds", "Arrival to end of the answer.")?,
-            in_flight: gauge("direct_in_flight", "Requests in progress.")?,
-            entries: gauge("direct_entries", "Entries that were heard lately.")?,
+            first_byte: histogram(
+                "apricot_direct_first_byte_seconds",
+                "Arrival to first byte.",
+            )?,
+            whole: histogram(
+                "apricot_direct_answer_seconds",
+                "Arrival to end of the answer.",
+            )?,
+            in_flight: gauge("apricot_direct_in_flight", "Requests in progress.")?,
+            entries: gauge("apricot_direct_entries", "Entries that were heard lately.")?,
         })
     }
 }
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -44,6 +44,7 @@
         settings.zone.clone(),
         settings.bounds.clone(),
         rand::random(),
+        Instant::now(),
     );
     let context = Arc::new(Context {
         dialect,
--- a/crates/direct/tests/suite/health_pauses.rs
+++ b/crates/direct/tests/suite/health_pauses.rs
@@ -45,3 +45,21 @@
     }
     assert!(health.failures(&id) < 0.1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn missing_is_told() {
+    let (mut finder, mut other) = (Health::default(), Health::default());
+    let id = conf::id::Endpoint::from("e0");
+    finder.left(&id, Instant::now());
+    let span = Duration::from_millis(600);
+    for endpoint in finder.missing(span, Instant::now()) {
+        other.hear_missing(&endpoint, Instant::now());
+    }
+    assert!(other.is_paused(&id, Instant::now()));
+    assert!(
+        other.missing(span, Instant::now()).is_empty(),
+        "only the finder tells"
+    );
+    time::advance(span).await;
+    assert!(finder.missing(span, Instant::now()).is_empty());
+}
--- a/crates/event/src/lines.rs
+++ b/crates/event/src/lines.rs
@@ -19,6 +19,8 @@
     kv::{Error, Key, Value, VisitSource},
 };
 
+use smol_str::SmolStr;
+
 use crate::log::filter;
 
 /// Lines that wait for standard output at most; more are dropped and counted.
@@ -30,7 +32,7 @@
 /// Span over which the rate is counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Starts logging to standard output, one JSON object a line.
+/// Starts logging to standard output, one JSON object a line, each with the name of the process.
 ///
 /// Callers never wait: a line that finds the queue full or the rate used up is dropped, and the
 /// next line that is written tells how many were.
@@ -38,7 +40,7 @@
 /// # Errors
 ///
 /// Returns an error if a logger was started before.
-pub fn start_lines(level: Level) -> Result<LoggerHandle, FlexiLoggerError> {
+pub fn start_lines(process: &str, level: Level) -> Result<LoggerHandle, FlexiLoggerError> {
     let (sender, receiver) = sync_channel(QUEUE);
     let dropped = Arc::new(AtomicU64::new(0));
     let counted = dropped.clone();
@@ -49,20 +51,26 @@
     for area in AREAS {
         specification.module(area, filter(level));
     }
-    let writer = Lines { sender, dropped };
+    let process = process.into();
+    let writer = Lines {
+        process,
+        sender,
+        dropped,
+    };
     Logger::with(specification.build())
         .log_to_writer(Box::new(writer))
         .start()
 }
 
 struct Lines {
+    process: SmolStr,
     sender: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
 }
 
 impl LogWriter for Lines {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-        let line = format(now, record);
+        let line = format(&self.process, now, record);
         match self.sender.try_send(line) {
             Ok(()) => Ok(()),
             Err(TrySendError::Full(_)) => {
@@ -78,8 +86,8 @@
     }
 }
 
-/// Makes one line: time, level, part of the program, message, and the record's own fields.
-fn format(now: &mut DeferredNow, record: &Record<'_>) -> Vec<u8> {
+/// Makes one line: time, process, level, what happened, and the record's own fields.
+fn format(process: &SmolStr, now: &mut DeferredNow, record: &Record<'_>) -> Vec<u8> {
     let mut fields = Fields::default();
     let text = |value: String| serde_json::Value::String(value);
     let time = now
@@ -87,6 +95,7 @@
         .format("%Y-%m-%dT%H:%M:%S%.3fZ")
         .to_string();
     fields.0.insert("time".into(), text(time));
+    fields.0.insert("process".into(), text(process.to_string()));
     fields.0.insert(
         "level".into(),
         text(record.level().to_string().to_lowercase()),
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -37,8 +37,14 @@
     ///
     /// Returns an error if the name of a metric is taken.
     pub fn new(registry: &Registry) -> prometheus::Result<Self> {
-        let version = IntGauge::new("fleet_version", "Version of the configuration in force.")?;
-        let options = Opts::new("fleet_store_calls_total", "Calls to the store by outcome.");
+        let version = IntGauge::new(
+            "apricot_fleet_version",
+            "Version of the configuration in force.",
+        )?;
+        let options = Opts::new(
+            "apricot_fleet_store_calls_total",
+            "Calls to the store by outcome.",
+        );
         let calls = IntCounterVec::new(options, &["outcome"])?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(calls.clone()))?;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod lead;
 mod member;
+mod metrics;
 mod run;
 mod settings;
 mod switch;
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -8,6 +8,7 @@
     Counts, Engine, Instructions, Lists, Order, Reply, Report,
     crew::Crew,
     engine::{Epoch, Pass, Version},
+    metrics::Metrics,
 };
 
 /// Time in which an engine beside the agent must answer.
@@ -73,6 +74,7 @@
 pub(crate) struct Member {
     engine: Arc<dyn Engine>,
     crew: Arc<Crew>,
+    metrics: Metrics,
     counted: Option<Counts>,
     counted_at: Option<Instant>,
     fresh: Vec<u32>,
@@ -83,10 +85,11 @@
 }
 
 impl Member {
-    pub(crate) fn new(engine: Arc<dyn Engine>, crew: Arc<Crew>) -> Self {
+    pub(crate) fn new(engine: Arc<dyn Engine>, crew: Arc<Crew>, metrics: Metrics) -> Self {
         Self {
             engine,
             crew,
+            metrics,
             counted: None,
             counted_at: None,
             fresh: Vec::new(),
@@ -102,12 +105,14 @@
         loop {
             let pause = match self.turn().await {
                 Ok(pause) => {
+                    self.metrics.reports.with_label_values(&["ok"]).inc();
                     if !std::mem::replace(&mut self.reached, true) {
                         log::info!("engine and leader answer again");
                     }
                     pause
                 }
                 Err(e) => {
+                    self.metrics.reports.with_label_values(&["failed"]).inc();
                     if std::mem::replace(&mut self.reached, false) {
                         log::warn!(reason:% = format!("{e:#}"); "engine or leader does not answer");
                     }
@@ -226,6 +231,8 @@
             Ok(Err(e)) => format!("unknown: {e:#}"),
             Err(_) => "unknown: no answer in time".to_owned(),
         };
+        let kind = outcome.split(':').next().unwrap_or_default();
+        self.metrics.orders.with_label_values(&[kind]).inc();
         log::info!(epoch = epoch, order = name, outcome = outcome; "order");
     }
 }
--- /dev/null
+++ b/crates/steer/src/metrics.rs
@@ -0,0 +1,29 @@
+use prometheus::{IntCounterVec, Opts, Registry};
+
+/// Metrics of an agent.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    /// Orders to the engine by outcome.
+    pub(crate) orders: IntCounterVec,
+    /// Reports to the leader by outcome.
+    pub(crate) reports: IntCounterVec,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a name is taken.
+    pub(crate) fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), &["outcome"])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        Ok(Self {
+            orders: counter("apricot_steer_orders_total", "Orders to the engine.")?,
+            reports: counter("apricot_steer_reports_total", "Reports to the leader.")?,
+        })
+    }
+}
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -11,7 +11,7 @@
     time,
 };
 
-use crate::{Engine, Settings, beacon, crew, crew::Crew, member::Member};
+use crate::{Engine, Settings, beacon, crew, crew::Crew, member::Member, metrics::Metrics};
 
 /// Time between two looks at whether the engine has a group.
 const LOOK: Duration = Duration::from_millis(100);
@@ -31,6 +31,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let registry = Registry::new();
     let follow = Arc::new(Follow::new(&registry)?);
+    let metrics = Metrics::register(&registry)?;
     let crew = Crew::new(settings.map);
     let peers = settings.listen.peers;
     let socket = UdpSocket::bind(peers)
@@ -53,7 +54,7 @@
         crew.clone(),
         view,
     ));
-    tokio::spawn(Member::new(engine.clone(), crew.clone()).run());
+    tokio::spawn(Member::new(engine, crew.clone(), metrics).run());
     tokio::spawn(follow_when_leading(service, crew, follow, source));
     loop {
         tokio::select! {
