Weigh copies by the time they take, and prefer kept connections

Change: the price is one for each second of copying; an endpoint with a kept connection weighs 0.4 requests less, and connections are kept as long as the endpoint says, 10 s at most.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::HashSet,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -272,11 +273,16 @@
     }
 
     fn choose(&self) -> Choice {
+        let kept = match self.route.repeat {
+            Repeat::Forbidden => HashSet::new(),
+            Repeat::Allowed | Repeat::Resumable => self.context.outlet.kept(),
+        };
         let send = Send {
             service: &self.service,
             prompt: self.ask.prompt,
             fingerprint: self.fingerprint,
             avoid: &self.had,
+            kept: &kept,
             again: !self.had.is_empty(),
             left: self.left(),
         };
@@ -660,11 +666,13 @@
             if !self.resumable || self.runs >= self.route.attempts || left < WORTH_REPEATING {
                 return None;
             }
+            let kept = self.context.outlet.kept();
             let send = Send {
                 service: &self.service,
                 prompt: self.ask.prompt,
                 fingerprint: self.fingerprint,
                 avoid: &self.had,
+                kept: &kept,
                 again: true,
                 left,
             };
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use conf::id;
 use fault::{ErrorKind, Fault};
@@ -17,6 +17,8 @@
 const UNREAD_WEIGHT: f64 = 400.0;
 /// What another zone weighs against one writing request; traffic between zones is priced.
 const FAR: f64 = 0.3;
+/// What a kept connection weighs against one writing request; new connections are priced.
+const KEPT: f64 = 0.4;
 /// Range of the random part, in requests; keeps entries with equal news from choosing alike.
 const SPREAD: f64 = 0.6;
 /// What a share of failures of 1 weighs, in requests.
@@ -46,6 +48,8 @@
     pub avoid: &'a [id::Endpoint],
     /// Whether an endpoint got it before.
     pub again: bool,
+    /// Endpoints to which a connection is kept that the request may use.
+    pub kept: &'a HashSet<id::Endpoint>,
     /// Time that the caller still waits.
     pub left: Duration,
 }
@@ -191,6 +195,9 @@
             }
             let mut score = f64::from(load.requests) + f64::from(load.unread) / UNREAD_WEIGHT;
             score += self.penalty(id, known, cold);
+            if send.kept.contains(id) {
+                score -= KEPT;
+            }
             score += self.random.random_range(0.0..SPREAD);
             if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
                 let placement = Placement {
--- a/crates/direct/src/outlet.rs
+++ b/crates/direct/src/outlet.rs
@@ -1,4 +1,9 @@
-use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Mutex,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use conf::id;
@@ -19,6 +24,8 @@
 const CONNECT: Duration = Duration::from_millis(1200);
 /// Time for which a connection may stay idle and be used again, if the endpoint names no other.
 const IDLE: Duration = Duration::from_secs(3);
+/// Longest such time, whatever the endpoint names; older connections have often gone silent.
+const LONGEST_IDLE: Duration = Duration::from_secs(10);
 /// Time by which a connection is given up before the endpoint closes it.
 const MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections that are kept to one endpoint.
@@ -113,9 +120,21 @@
         links.pop()
     }
 
+    /// Lists the endpoints to which a connection is kept.
+    pub(crate) fn kept(&self) -> HashSet<id::Endpoint> {
+        let now = Instant::now();
+        let Ok(idle) = self.idle.lock() else {
+            return HashSet::new();
+        };
+        let usable = |links: &Vec<Link>| links.iter().any(|link| link.until > now);
+        let kept = idle.iter().filter(|(_, links)| usable(links));
+        kept.map(|(endpoint, _)| endpoint.clone()).collect()
+    }
+
     /// Keeps a connection whose answer has been read to its end.
     pub(crate) fn keep(&self, mut link: Link, keep_alive: Option<Duration>) {
-        let span = keep_alive.unwrap_or(IDLE).saturating_sub(MARGIN).min(IDLE);
+        let span = keep_alive.map_or(IDLE, |span| span.saturating_sub(MARGIN));
+        let span = span.min(LONGEST_IDLE);
         link.until = Instant::now() + span;
         let Ok(mut idle) = self.idle.lock() else {
             return;
--- a/crates/direct/tests/suite/desk_choice.rs
+++ b/crates/direct/tests/suite/desk_choice.rs
@@ -134,3 +134,32 @@
     assert!(f64::from(sent) <= own, "{sent} in one second");
     assert!(sent > 0);
 }
+
+/// Load pattern: many endpoints for few requests; each new connection costs.
+#[tokio::test(start_paused = true)]
+async fn kept_connection_first() {
+    let (mut desk, view, service) = (desk(), view(20), "drafts".into());
+    let kept = ["e2".into()].into();
+    let mut send = send(&service);
+    send.kept = &kept;
+    let mut there = 0;
+    for _ in 0..20 {
+        let placement = desk.choose(&view, &send, Instant::now()).unwrap();
+        there += u32::from(placement.endpoint == "e2");
+        desk.ended(&placement, Outcome::Whole, Instant::now());
+    }
+    assert!(there > 10, "{there}");
+    desk.hear(
+        &"other".into(),
+        vec![(
+            "e2".into(),
+            Load {
+                requests: 2,
+                unread: 0,
+            },
+        )],
+        Instant::now(),
+    );
+    let placement = desk.choose(&view, &send, Instant::now()).unwrap();
+    assert_ne!(placement.endpoint, "e2", "load goes first");
+}
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -1,4 +1,8 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use direct::{Bounds, Desk, Send};
 use fleet::{
@@ -9,6 +13,8 @@
 
 pub(crate) const SLOTS: u32 = 4;
 
+static NONE: OnceLock<HashSet<conf::id::Endpoint>> = OnceLock::new();
+
 pub(crate) fn bounds() -> Bounds {
     Bounds {
         entries: 4,
@@ -129,6 +135,7 @@
         prompt: 100,
         fingerprint: 1,
         avoid: &[],
+        kept: NONE.get_or_init(HashSet::new),
         again: false,
         left: Duration::from_secs(8),
     }
--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -35,7 +35,7 @@
     /// Time for which ranks copy experts in one change at most; passes are slower meanwhile.
     #[serde_as(as = "unit::Span")]
     pub copying: Duration,
-    /// Skew that one copied expert must save at least.
+    /// Skew that each second of copying at a rank must save at least.
     pub price: f64,
     /// Skew from which the map is changed.
     pub least_skew: f64,
@@ -55,7 +55,7 @@
     fn default() -> Self {
         Self {
             copying: Duration::from_millis(300),
-            price: 0.005,
+            price: 0.035,
             least_skew: 1.6,
             least_gain: 0.3,
             memory: Duration::from_millis(500),
@@ -80,8 +80,8 @@
 #[derive(Debug)]
 pub struct Lead {
     tuning: Tuning,
-    /// Bounds of one change; `None` until the service's configuration is known.
-    room: Option<Room>,
+    /// Bounds of one change and the time of one copy; `None` until the service's configuration is known.
+    room: Option<(Room, Duration)>,
     sets: usize,
     epoch: Epoch,
     ranks: usize,
@@ -124,11 +124,12 @@
     /// long it copies each.
     pub fn allow(&mut self, places: usize, fresh: usize, copy_time: Duration) {
         let copies = self.tuning.copying.as_secs_f64() / copy_time.as_secs_f64().max(0.001);
-        self.room = Some(Room {
+        let room = Room {
             places,
             fresh,
             copies: (copies as usize).max(1),
-        });
+        };
+        self.room = Some((room, copy_time));
     }
 
     /// Takes in a rank's report and returns what the rank is to do.
@@ -261,14 +262,14 @@
         if now < self.rested || !self.switch.is_quiet() || !self.heard.iter().all(fresh) {
             return;
         }
-        let (Some(placement), Some(room)) = (&self.placement, self.room) else {
+        let (Some(placement), Some((room, copy_time))) = (&self.placement, self.room) else {
             return;
         };
         if self.tally.mass() < self.tuning.least_mass {
             return;
         }
         let popularity = self.tally.popularity();
-        let balancer = Balancer::new(room, self.tuning.price);
+        let balancer = Balancer::new(room, self.tuning.price * copy_time.as_secs_f64());
         let Some(step) = balancer.plan(placement, &popularity) else {
             return;
         };
