Let ranks tell what they count in one byte each and more often

Change: counts are rounded to one byte and told every 200 ms, counts lose weight in 400 ms, 100 ms between changes. Models of the switch pass.

--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -58,9 +58,9 @@
             price: 0.035,
             least_skew: 1.6,
             least_gain: 0.3,
-            memory: Duration::from_millis(500),
+            memory: Duration::from_millis(400),
             least_mass: 20_000.0,
-            rest: Duration::from_millis(200),
+            rest: Duration::from_millis(100),
         }
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -21,4 +21,4 @@
 pub use run::run;
 pub use settings::{Listen, Settings};
 pub use switch::{Phase, Switch};
-pub use tally::Tally;
+pub use tally::{Sample, Tally};
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    Counts, Engine, Instructions, Lists, Order, Reply, Report,
+    Counts, Engine, Instructions, Lists, Order, Reply, Report, Sample,
     crew::Crew,
     engine::{Epoch, Pass, Version},
     metrics::Metrics,
@@ -17,7 +17,7 @@
 const ORDER: Duration = Duration::from_millis(60);
 /// Least time between two reads of what was chosen, and time for each of the counts, so that large
 /// groups do not fill their leader's link.
-const COUNTING: (Duration, Duration) = (Duration::from_millis(110), Duration::from_micros(300));
+const COUNTING: (Duration, Duration) = (Duration::from_millis(110), Duration::from_micros(130));
 /// Pause after an engine or leader did not answer.
 const RETRY: Duration = Duration::from_millis(150);
 /// Pause while the engine has no group.
@@ -51,7 +51,7 @@
     /// Map that the engine refused to prepare.
     pub refused: Option<Version>,
     /// How often each expert was chosen since the last report, set by set.
-    pub fresh: Vec<u32>,
+    pub fresh: Sample,
     /// Experts under the map in use by set, if asked for.
     pub list: Option<Vec<Vec<u16>>>,
 }
@@ -206,7 +206,7 @@
             held: report.held,
             busy: report.busy,
             refused: self.refused,
-            fresh: self.fresh.clone(),
+            fresh: Sample::new(&self.fresh),
             list: map.map(|list| list.experts.clone()),
         })
     }
--- a/crates/steer/tests/suite/lead_plans.rs
+++ b/crates/steer/tests/suite/lead_plans.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use expert::Balancer;
-use steer::{Instructions, Lead, Order, Status, Tuning};
+use steer::{Instructions, Lead, Order, Sample, Status, Tuning};
 use tokio::time::{self, Instant};
 
 const RANKS: usize = 4;
@@ -29,7 +29,7 @@
         held: None,
         busy: false,
         refused: None,
-        fresh,
+        fresh: Sample::new(&fresh),
         list: Some(vec![lists[0][rank].clone()]),
     }
 }
--- a/crates/steer/tests/suite/switch_model.rs
+++ b/crates/steer/tests/suite/switch_model.rs
@@ -8,7 +8,7 @@
 
 use expert::Placement;
 use pathfinding::directed::bfs::{bfs, bfs_reach};
-use steer::{Epoch, Order, Pass, Phase, Status, Switch, Version, digest};
+use steer::{Epoch, Order, Pass, Phase, Sample, Status, Switch, Version, digest};
 use tokio::time::Instant;
 
 /// Ranks of the group.
@@ -102,7 +102,7 @@
             held: rank.held,
             busy: false,
             refused: None,
-            fresh: Vec::new(),
+            fresh: Sample::default(),
             list: None,
         }
     }
