--- a/crates/direct/src/ask.rs
+++ b/crates/direct/src/ask.rs
@@ -48,6 +48,6 @@
     pub signed: bool,
     /// Whether the body was encoded on the way and is not the endpoint's own.
     pub encoded: bool,
-    /// Endpoint whose failure is the reason for this one.
-    pub at_fault: Option<id::Endpoint>,
+    /// Id or address of the endpoint whose failure is the reason for this one.
+    pub at_fault: Option<SmolStr>,
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -401,10 +401,11 @@
     ) -> Step {
         self.note(&flight, "declined", head.status.as_str());
         if let Some(at_fault) = &answer.at_fault {
+            let view = self.context.view.borrow().clone();
             let endpoint = &flight.placement.endpoint;
             log::warn!(request:% = self.ask.id, endpoint:% = endpoint, at_fault:% = at_fault; "group is stalled");
             self.context
-                .decide(|desk| desk.stalled(endpoint, at_fault, Instant::now()));
+                .decide(|desk| desk.stalled(&view, endpoint, at_fault, Instant::now()));
         }
         let keep_alive = outlet::keep_alive(&head.headers);
         if Limited::new(body, WHOLE).collect().await.is_ok() {
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -275,9 +275,15 @@
         self.suspects.crashed(fingerprint, crash, now);
     }
 
-    /// Notes that an endpoint's group is stalled by the loss of another of its ranks.
-    pub fn stalled(&mut self, endpoint: &id::Endpoint, at_fault: &id::Endpoint, now: Instant) {
-        self.stalls.declined(endpoint, at_fault, now);
+    /// Notes that an endpoint's group is stalled by the loss of another rank, named by id or address.
+    pub fn stalled(&mut self, view: &View, endpoint: &id::Endpoint, at_fault: &str, now: Instant) {
+        let named = |(id, known): &(&id::Endpoint, &Known)| {
+            id.as_str() == at_fault || known.endpoint.address.to_string() == at_fault
+        };
+        let found = view.endpoints.iter().find(named).map(|(id, _)| id.clone());
+        // A rank that is gone may not be known any more; the one that declined still is.
+        let at_fault = found.unwrap_or_else(|| endpoint.clone());
+        self.stalls.declined(endpoint, &at_fault, now);
     }
 
     /// Forgets what belongs to endpoints that are no longer known.
--- a/crates/direct/src/stalls.rs
+++ b/crates/direct/src/stalls.rs
@@ -63,6 +63,6 @@
         for group in &mut self.groups {
             group.members.retain(|endpoint| known(endpoint));
         }
-        self.groups.retain(|group| group.members.len() > 1);
+        self.groups.retain(|group| !group.members.is_empty());
     }
 }
--- a/crates/direct/tests/suite/desk_choice.rs
+++ b/crates/direct/tests/suite/desk_choice.rs
@@ -83,7 +83,8 @@
 #[tokio::test(start_paused = true)]
 async fn stalled_group_refuses() {
     let (mut desk, view, service) = (desk(), view(2), "drafts".into());
-    desk.stalled(&"e0".into(), &"e1".into(), Instant::now());
+    // Endpoints name the rank that is lost by its address.
+    desk.stalled(&view, &"e0".into(), "127.0.0.1:1001", Instant::now());
     for _ in 0..50 {
         let fault = desk
             .choose(&view, &send(&service), Instant::now())
@@ -146,6 +147,7 @@
     for _ in 0..20 {
         let placement = desk.choose(&view, &send, Instant::now()).unwrap();
         there += u32::from(placement.endpoint == "e2");
+        desk.began(&placement);
         desk.ended(&placement, Outcome::Whole, Instant::now());
     }
     assert!(there > 10, "{there}");
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -119,7 +119,11 @@
     for index in 0..engines {
         let zone = if index % 2 == 0 { "a" } else { "b" };
         let known = Known {
-            endpoint: Arc::new(endpoint("drafts", zone, ([127, 0, 0, 1], 9).into())),
+            endpoint: Arc::new(endpoint(
+                "drafts",
+                zone,
+                ([127, 0, 0, 1], 1000 + index as u16).into(),
+            )),
             cold_until: now,
             until: None,
             revision: 1,
