Split the call into its parts, and keep one copy of remote calls and of reading settings

resume, flight and forward are modules of their own; node::rpc carries remote calls over TCP for entries and agents; conf::load reads settings. Orders that got no answer by their deadline are answered 504, with a line for the send.

--- a/crates/conf/src/diagnose.rs
+++ b/crates/conf/src/diagnose.rs
@@ -1,5 +1,6 @@
-use std::{error, fmt, io::Read as _};
+use std::{error, fmt, fs, io::Read as _, path::Path};
 
+use anyhow::Context as _;
 use json_comments::StripComments;
 use serde::de::DeserializeOwned;
 
@@ -30,6 +31,17 @@
 
 impl error::Error for Error {}
 
+/// Reads and parses a file of JSON with comments.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be read, or file, line and field of the first mistake.
+pub fn load<T: DeserializeOwned>(path: &Path) -> anyhow::Result<T> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).with_context(|| format!("{file}: cannot be read"))?;
+    Ok(parse(&file, &text)?)
+}
+
 /// Parses JSON with comments.
 ///
 /// # Errors
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -17,7 +17,7 @@
 mod version;
 
 pub use check::check;
-pub use diagnose::{Error, parse};
+pub use diagnose::{Error, load, parse};
 pub use digest::Digest;
 pub use document::{
     Document, Endpoint, Group, Limit, Policy, Priority, Route, SCHEMA, Service, ServiceKind, Team,
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -8,7 +8,7 @@
 use conf::id;
 use fault::{ErrorKind, Fault, PROBLEM_TYPE, Run};
 use fleet::{Configuration, Repeat, Route, View};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request, response};
+use http::{HeaderValue, Request, Response, StatusCode, header, request, response};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use node::Shutdown;
@@ -23,35 +23,25 @@
     Answer, Ask, Desk, Dialect, Offer, Outcome, Placement, Send,
     body::{self, Body},
     desk::Choice,
+    flight::{Flight, note},
+    forward::{end_to_end, outgoing},
     metrics::Metrics,
     outlet::{self, Broken, Link, Opened, Outlet},
     relay::Relay,
+    resume::Resume,
     suspect::Fingerprint,
 };
 
 /// Time by which an answer of this side comes before the deadline that it keeps.
 const MARGIN: Duration = Duration::from_millis(30);
 /// Sends of one request, those included that reached no endpoint.
-const TRIES: usize = 5;
+pub(crate) const TRIES: usize = 5;
 /// Largest body of a plain answer, in bytes; larger ones are passed on without being kept.
 const WHOLE: usize = 1 << 20;
 /// Time after which callers come back to an entry that knows no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(700);
 /// Least time that a repeat needs to be worth sending.
-const WORTH_REPEATING: Duration = Duration::from_millis(60);
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
+pub(crate) const WORTH_REPEATING: Duration = Duration::from_millis(60);
 /// What calls share.
 ///
 /// Lock order: `desk` is the only lock and is never held across an await.
@@ -249,7 +239,11 @@
                 Step::Declined => {}
                 Step::Unknown(reason) => {
                     if self.route.repeat == Repeat::Forbidden {
-                        return Err(Fault::new(ErrorKind::Interrupted).detail(reason));
+                        let kind = match self.left().is_zero() {
+                            true => ErrorKind::DeadlineRunning,
+                            false => ErrorKind::Interrupted,
+                        };
+                        return Err(Fault::new(kind).detail(reason));
                     }
                 }
             }
@@ -332,6 +326,7 @@
         match time::timeout_at(self.deadline, sending).await {
             Err(_) => {
                 self.runs += 1;
+                self.note(&flight, "no answer by the deadline", "");
                 flight.end(Outcome::Broke);
                 Step::Unknown(SmolStr::new_static("no answer by the deadline"))
             }
@@ -565,203 +560,6 @@
     }
 }
 
-/// Logs how a send ended.
-pub(crate) fn note(
-    context: &Context,
-    id: &SmolStr,
-    flight: &Flight,
-    outcome: &str,
-    reason: &str,
-    arrived: Instant,
-) {
-    context.metrics.sends.with_label_values(&[outcome]).inc();
-    log::info!(
-        request:% = id,
-        endpoint:% = flight.placement.endpoint,
-        outcome = outcome,
-        reason = reason,
-        age_ms = millis(arrived.elapsed());
-        "send ended"
-    );
-}
-
-/// Request that is counted at an endpoint until it ends or is dropped.
-pub(crate) struct Flight {
-    context: Arc<Context>,
-    pub(crate) placement: Placement,
-    begun: bool,
-    ended: bool,
-}
-
-impl Flight {
-    pub(crate) fn new(context: Arc<Context>, placement: Placement) -> Self {
-        Self {
-            context,
-            placement,
-            begun: false,
-            ended: false,
-        }
-    }
-
-    /// Notes that the answer has begun.
-    pub(crate) fn begin(&mut self) {
-        if !std::mem::replace(&mut self.begun, true) {
-            self.context.decide(|desk| desk.began(&self.placement));
-        }
-    }
-
-    /// Ends the count with an outcome.
-    pub(crate) fn end(mut self, outcome: Outcome) {
-        self.finish(outcome);
-    }
-
-    fn finish(&mut self, outcome: Outcome) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        self.begin();
-        let now = Instant::now();
-        let paused = self
-            .context
-            .decide(|desk| desk.ended(&self.placement, outcome, now));
-        if paused {
-            log::warn!(endpoint:% = self.placement.endpoint, outcome:? = outcome; "endpoint is passed over for a while");
-        }
-    }
-
-    pub(crate) fn keep(&self, link: Link, keep_alive: Option<Duration>) {
-        self.context.outlet.keep(link, keep_alive);
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.finish(Outcome::Dropped);
-    }
-}
-
-/// What it takes to go on with a stream at another endpoint.
-pub(crate) struct Resume {
-    pub(crate) context: Arc<Context>,
-    pub(crate) ask: Ask,
-    route: Arc<Route>,
-    service: id::Service,
-    team: Option<id::Team>,
-    rank: u8,
-    head: request::Parts,
-    body: Bytes,
-    fingerprint: Fingerprint,
-    pub(crate) arrived: Instant,
-    pub(crate) deadline: Instant,
-    had: Vec<id::Endpoint>,
-    runs: u32,
-    resumable: bool,
-}
-
-impl Resume {
-    /// Sends the request to another endpoint, to go on after the event `last`; `None` if that may
-    /// not be done or fails.
-    pub(crate) async fn resume(&mut self, last: Option<u64>) -> Option<Relay> {
-        for _ in 0..TRIES {
-            let left = self.deadline.saturating_duration_since(Instant::now());
-            if !self.resumable || self.runs >= self.route.attempts || left < WORTH_REPEATING {
-                return None;
-            }
-            let kept = self.context.outlet.kept();
-            let send = Send {
-                service: &self.service,
-                prompt: self.ask.prompt,
-                fingerprint: self.fingerprint,
-                avoid: &self.had,
-                kept: &kept,
-                again: true,
-                left,
-            };
-            let view = self.context.view.borrow().clone();
-            let choice = self
-                .context
-                .decide(|desk| desk.choose(&view, &send, Instant::now()));
-            let placement = match choice {
-                Ok(placement) => placement,
-                Err(fault) => {
-                    log::info!(request:% = self.ask.id, reason:% = fault; "stream is not resumed");
-                    return None;
-                }
-            };
-            if let Some(relay) = self.try_at(placement, last, left).await {
-                return Some(relay);
-            }
-        }
-        None
-    }
-
-    async fn try_at(
-        &mut self,
-        placement: Placement,
-        last: Option<u64>,
-        left: Duration,
-    ) -> Option<Relay> {
-        let flight = Flight::new(self.context.clone(), placement);
-        let endpoint = flight.placement.endpoint.clone();
-        self.had.push(endpoint.clone());
-        log::info!(request:% = self.ask.id, endpoint:% = endpoint, after:? = last, left_ms = millis(left); "stream is resumed");
-        let offer = Offer {
-            endpoint: &endpoint,
-            team: self.team.as_ref(),
-            left,
-            rank: self.rank,
-            resume: last,
-        };
-        let request = outgoing(
-            &*self.context.dialect,
-            &self.head,
-            self.body.clone(),
-            &offer,
-        );
-        let sending = self
-            .context
-            .outlet
-            .send(&endpoint, flight.placement.address, request, false);
-        let sent = time::timeout_at(self.deadline, sending).await;
-        let (outcome, reason) = match sent {
-            Err(_) => (Outcome::Broke, "no answer by the deadline".to_owned()),
-            Ok(Err(Broken::Unsent(reason))) => (Outcome::Unreached, reason),
-            Ok(Err(Broken::Unknown(reason))) => {
-                self.runs += 1;
-                (Outcome::Broke, reason)
-            }
-            Ok(Ok(opened)) => {
-                let (head, body) = opened.response.into_parts();
-                let answer = self.context.dialect.answer(&head);
-                let own = answer.request.as_ref().is_none_or(|id| *id == self.ask.id);
-                if own && answer.signed && !answer.encoded && head.status.is_success() {
-                    self.runs += 1;
-                    return Some(Relay::new(flight, body, opened.link, &head, last));
-                }
-                if !answer.not_run && !answer.misdirected {
-                    self.runs += 1;
-                }
-                let outcome = if answer.misdirected {
-                    Outcome::Misdirected
-                } else {
-                    Outcome::Declined
-                };
-                (outcome, format!("status {}", head.status))
-            }
-        };
-        note(
-            &self.context,
-            &self.ask.id,
-            &flight,
-            "not resumed",
-            &reason,
-            self.arrived,
-        );
-        flight.end(outcome);
-        None
-    }
-}
-
 fn configuration(context: &Context) -> Result<Arc<Configuration>, Fault> {
     let view = context.view.borrow();
     view.configuration
@@ -832,43 +630,6 @@
     hash.digest()
 }
 
-/// Makes the request that goes to an endpoint.
-fn outgoing(
-    dialect: &dyn Dialect,
-    head: &request::Parts,
-    body: Bytes,
-    offer: &Offer<'_>,
-) -> Request<Full<Bytes>> {
-    let mut headers = end_to_end(&head.headers);
-    dialect.forward(&mut headers, offer);
-    let mut request = Request::new(Full::new(body));
-    *request.method_mut() = head.method.clone();
-    *request.uri_mut() = head
-        .uri
-        .path_and_query()
-        .cloned()
-        .map_or_else(|| head.uri.clone(), Into::into);
-    *request.headers_mut() = headers;
-    request
-}
-
-/// Copies the headers that do not concern one connection only.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let listed: Vec<SmolStr> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| SmolStr::new(name.trim().to_ascii_lowercase()))
-        .collect();
-    let passes = |name: &str| !HOP_BY_HOP.contains(&name) && !listed.iter().any(|l| l == name);
-    headers
-        .iter()
-        .filter(|(name, _)| passes(name.as_str()))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
-
 /// Makes the answer to the caller from an endpoint's.
 fn respond(head: &response::Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
--- /dev/null
+++ b/crates/direct/src/forward.rs
@@ -0,0 +1,58 @@
+//! Headers and requests on their way between callers and endpoints.
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, header, request};
+use http_body_util::Full;
+use smol_str::SmolStr;
+
+use crate::{Dialect, Offer};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Makes the request that goes to an endpoint.
+pub(crate) fn outgoing(
+    dialect: &dyn Dialect,
+    head: &request::Parts,
+    body: Bytes,
+    offer: &Offer<'_>,
+) -> Request<Full<Bytes>> {
+    let mut headers = end_to_end(&head.headers);
+    dialect.forward(&mut headers, offer);
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = head
+        .uri
+        .path_and_query()
+        .cloned()
+        .map_or_else(|| head.uri.clone(), Into::into);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Copies the headers that do not concern one connection only.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let listed: Vec<SmolStr> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| SmolStr::new(name.trim().to_ascii_lowercase()))
+        .collect();
+    let passes = |name: &str| !HOP_BY_HOP.contains(&name) && !listed.iter().any(|l| l == name);
+    headers
+        .iter()
+        .filter(|(name, _)| passes(name.as_str()))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -10,8 +10,10 @@
 use crate::{
     Outcome, Splitter,
     body::Body,
-    call::{Flight, Resume, millis, note},
+    call::millis,
+    flight::{Flight, note},
     outlet::{Link, keep_alive},
+    resume::Resume,
 };
 
 /// Stream of events from one endpoint.
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -1,6 +1,5 @@
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
-use anyhow::Context as _;
 use conf::{Level, id, unit};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
@@ -84,8 +83,6 @@
     ///
     /// Returns file, line and field of the first mistake.
     pub fn load(path: &Path) -> anyhow::Result<Self> {
-        let file = path.display().to_string();
-        let text = fs::read_to_string(path).with_context(|| format!("{file}: cannot be read"))?;
-        Ok(conf::parse(&file, &text)?)
+        conf::load(path)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod overlay;
 mod platform;
 pub mod probe;
+pub mod rpc;
 mod setup;
 mod signal;
 mod tune;
--- a/crates/steer/src/crew.rs
+++ b/crates/steer/src/crew.rs
@@ -1,6 +1,5 @@
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -8,25 +7,22 @@
 
 use anyhow::Context as _;
 use futures::StreamExt as _;
+use node::rpc;
 use smol_str::SmolStr;
 use tarpc::{
     client, context,
     server::{BaseChannel, Channel as _},
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::Mutex as AsyncMutex,
     time::{self, Instant},
 };
-use tokio_serde::formats::MessagePack;
-use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::{Group, Instructions, Lead, Status, Tuning, engine::Epoch};
 
 /// Time in which the leader must be connected to, and in which it must answer.
 const PATIENCE: Duration = Duration::from_millis(600);
-/// Pause after a connection could not be accepted.
-const PAUSE: Duration = Duration::from_millis(100);
 
 /// Calls of ranks to the leader of their group.
 #[tarpc::service]
@@ -163,48 +159,16 @@
 /// Serves the other agents for good.
 pub(crate) async fn serve(listener: TcpListener, crew: Arc<Crew>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_one(stream, Host(crew.clone())));
-            }
-            Err(e) => {
-                log::warn!(reason:% = e; "another agent could not be accepted");
-                time::sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn serve_one(stream: TcpStream, host: Host) {
-    if let Err(e) = node::tune(&stream) {
-        log::warn!(reason:% = e; "socket options");
-        return;
-    }
-    let channel = BaseChannel::with_defaults(transport(stream));
-    channel
-        .execute(host.serve())
-        .for_each(|call| async {
+        let stream = rpc::accept(&listener).await;
+        let channel = BaseChannel::with_defaults(rpc::transport(stream));
+        let calls = channel.execute(Host(crew.clone()).serve());
+        tokio::spawn(calls.for_each(|call| async {
             tokio::spawn(call);
-        })
-        .await;
+        }));
+    }
 }
 
 async fn connect(address: SocketAddr) -> anyhow::Result<MeetClient> {
-    let stream = time::timeout(PATIENCE, TcpStream::connect(address))
-        .await
-        .context("no connection in time")??;
-    node::tune(&stream)?;
-    Ok(MeetClient::new(client::Config::default(), transport(stream)).spawn())
-}
-
-/// Carries messages over a connection.
-fn transport<In, Out>(
-    stream: TcpStream,
-) -> impl futures::Stream<Item = io::Result<In>> + futures::Sink<Out, Error = io::Error>
-where
-    In: for<'de> serde::Deserialize<'de>,
-    Out: serde::Serialize,
-{
-    let framed = LengthDelimitedCodec::builder().new_framed(stream);
-    tarpc::serde_transport::new(framed, MessagePack::<In, Out>::default())
+    let stream = rpc::connect(address, PATIENCE).await?;
+    Ok(MeetClient::new(client::Config::default(), rpc::transport(stream)).spawn())
 }
