--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -145,7 +145,7 @@
         let Some(mut placement) = self.best(view, send, now)? else {
             return Err(self
                 .is_down(send)
-                .detail("no endpoint is present, reachable and unstalled"));
+                .detail("no endpoint is present, reachable and making progress"));
         };
         if send.again && !self.budget.again(send.service, self.entries, now) {
             let detail = "the budget for repeats is used up";
@@ -155,7 +155,7 @@
             self.budget.first(send.service, now);
         }
         placement.prompt = send.prompt;
-        self.loads.sent(&placement.endpoint, send.prompt);
+        self.loads.sent(&placement.endpoint, send.prompt, now);
         if placement.cold {
             self.cold.sent(&placement.endpoint, now);
         }
@@ -177,7 +177,9 @@
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
         let (mut best, mut kind): (Option<(f64, Placement)>, _) = (None, None);
         for (id, known) in view.open(send.service, now) {
-            let passed_over = self.health.is_paused(id, now) || self.stalls.holds(id, now);
+            let passed_over = self.health.is_paused(id, now)
+                || self.stalls.holds(id, now)
+                || self.loads.is_silent(id, now);
             if send.avoid.contains(id) || passed_over {
                 continue;
             }
@@ -245,6 +247,11 @@
 
 /// # Outcomes
 impl Desk {
+    /// Notes that an answer has come a step further.
+    pub fn progressed(&mut self, placement: &Placement, now: Instant) {
+        self.loads.progressed(&placement.endpoint, now);
+    }
+
     /// Notes that the answer has begun.
     pub fn began(&mut self, placement: &Placement) {
         self.loads.began(&placement.endpoint, placement.prompt);
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Notes that the answer has come a step further.
+    pub(crate) fn progress(&self) {
+        let now = Instant::now();
+        self.context
+            .decide(|desk| desk.progressed(&self.placement, now));
+    }
+
     /// Notes that the answer has begun.
     pub(crate) fn begin(&mut self) {
         if !std::mem::replace(&mut self.begun, true) {
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -4,6 +4,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+/// Time without any progress of this entry's requests at an endpoint after which it counts as silent.
+///
+/// Engines show progress with each pass, several times in this span even when they are slow; callers
+/// leave a stream without an event after two seconds.
+const SILENT: Duration = Duration::from_millis(700);
 /// Age at which another entry's figures no longer count.
 const STALE: Duration = Duration::from_secs(2);
 
@@ -29,6 +34,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
     own: HashMap<id::Endpoint, Load>,
+    /// When this entry's requests at an endpoint last made progress.
+    progress: HashMap<id::Endpoint, Instant>,
     others: HashMap<id::Process, (Instant, HashMap<id::Endpoint, Load>)>,
 }
 
@@ -58,12 +65,32 @@
     }
 
     /// Notes a request that is sent with so many prompt tokens.
-    pub fn sent(&mut self, endpoint: &id::Endpoint, prompt: u32) {
+    pub fn sent(&mut self, endpoint: &id::Endpoint, prompt: u32, now: Instant) {
         let load = self.own.entry(endpoint.clone()).or_default();
+        if load.requests == 0 {
+            self.progress.insert(endpoint.clone(), now);
+        }
         load.requests += 1;
         load.unread += prompt;
     }
 
+    /// Notes that an answer has come a step further.
+    pub fn progressed(&mut self, endpoint: &str, now: Instant) {
+        if let Some(at) = self.progress.get_mut(endpoint) {
+            *at = now;
+        }
+    }
+
+    /// Returns whether requests are in flight at an endpoint and none has made progress for long.
+    ///
+    /// A lock-step group that stands still, as at a held pass or a frozen rank, looks so.
+    #[must_use]
+    pub fn is_silent(&self, endpoint: &str, now: Instant) -> bool {
+        let waits = self.own.get(endpoint).is_some_and(|load| load.requests > 0);
+        let at = self.progress.get(endpoint);
+        waits && at.is_some_and(|at| now.duration_since(*at) > SILENT)
+    }
+
     /// Notes that an answer has begun, so that the prompt was read.
     pub fn began(&mut self, endpoint: &str, prompt: u32) {
         if let Some(load) = self.own.get_mut(endpoint) {
@@ -90,5 +117,7 @@
     pub fn retain(&mut self, known: impl Fn(&id::Endpoint) -> bool) {
         self.own
             .retain(|endpoint, load| known(endpoint) || *load != Load::default());
+        self.progress
+            .retain(|endpoint, _| self.own.contains_key(endpoint));
     }
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -76,6 +76,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.flight.progress();
                     self.splitter.push(&data);
                     if self.splitter.is_overlong() {
                         return Err("an event is longer than allowed".to_owned());
--- a/crates/direct/tests/suite/desk_choice.rs
+++ b/crates/direct/tests/suite/desk_choice.rs
@@ -165,3 +165,24 @@
     let placement = desk.choose(&view, &send, Instant::now()).unwrap();
     assert_ne!(placement.endpoint, "e2", "load goes first");
 }
+
+/// Found by a hunt: umlando-tags, late-orders-sides with seed 113724950092. A group stood still for 2.9 s
+/// while drafts went on being sent into it, and their callers left.
+#[tokio::test(start_paused = true)]
+async fn silent_endpoints_spared() {
+    let (mut desk, view, service) = (desk(), view(2), "drafts".into());
+    let first = desk.choose(&view, &send(&service), Instant::now()).unwrap();
+    let second = desk.choose(&view, &send(&service), Instant::now()).unwrap();
+    assert_ne!(first.endpoint, second.endpoint);
+    time::advance(Duration::from_secs(1)).await;
+    let fault = desk
+        .choose(&view, &send(&service), Instant::now())
+        .unwrap_err();
+    assert_eq!(
+        (fault.kind(), fault.run()),
+        (ErrorKind::NoEndpoint, Run::No)
+    );
+    desk.progressed(&second, Instant::now());
+    let next = desk.choose(&view, &send(&service), Instant::now()).unwrap();
+    assert_eq!(next.endpoint, second.endpoint);
+}
--- a/crates/direct/tests/suite/load_reports.rs
+++ b/crates/direct/tests/suite/load_reports.rs
@@ -11,8 +11,8 @@
 async fn own_and_others() {
     let mut loads = Loads::default();
     let id = conf::id::Endpoint::from("e0");
-    loads.sent(&id, 100);
-    loads.sent(&id, 50);
+    loads.sent(&id, 100, Instant::now());
+    loads.sent(&id, 50, Instant::now());
     loads.hear(
         &"other".into(),
         vec![("e0".into(), load(2, 10))],
@@ -41,3 +41,21 @@
     time::advance(Duration::from_secs(2)).await;
     assert_eq!(loads.at("e0", Instant::now()), Load::default());
 }
+
+#[tokio::test(start_paused = true)]
+async fn silence_and_progress() {
+    let mut loads = Loads::default();
+    let id = conf::id::Endpoint::from("e0");
+    loads.sent(&id, 100, Instant::now());
+    time::advance(Duration::from_millis(600)).await;
+    loads.progressed(&id, Instant::now());
+    time::advance(Duration::from_millis(600)).await;
+    assert!(!loads.is_silent(&id, Instant::now()));
+    time::advance(Duration::from_millis(200)).await;
+    assert!(loads.is_silent(&id, Instant::now()));
+    loads.ended(&id);
+    assert!(
+        !loads.is_silent(&id, Instant::now()),
+        "nothing waits there, so it may be tried"
+    );
+}
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -14,7 +14,7 @@
 /// Time in which an engine beside the agent must answer.
 const ANSWER: Duration = Duration::from_millis(250);
 /// Time in which an engine takes an order; one that takes longer is given again, which does no harm.
-const ORDER: Duration = Duration::from_millis(60);
+const ORDER: Duration = Duration::from_millis(25);
 /// Least time between two reads of what was chosen, and time for each of the counts, so that large
 /// groups do not fill their leader's link.
 const COUNTING: (Duration, Duration) = (Duration::from_millis(110), Duration::from_micros(130));
--- a/crates/steer/src/switch.rs
+++ b/crates/steer/src/switch.rs
@@ -10,7 +10,7 @@
 };
 
 /// Time after which an order that showed no effect is given again.
-const AGAIN: Duration = Duration::from_millis(30);
+const AGAIN: Duration = Duration::from_millis(10);
 /// Time after which an order to copy experts, which takes longer to show, is given again.
 const COPY_AGAIN: Duration = Duration::from_millis(120);
 /// Age of a rank's report from which no pass is held for it.
