--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -36,12 +36,14 @@
 const MARGIN: Duration = Duration::from_millis(30);
 /// Sends of one request, those included that reached no endpoint.
 pub(crate) const TRIES: usize = 5;
-/// Largest body of a plain answer, in bytes; larger ones are passed on without being kept.
+/// Largest body of a plain answer, in bytes; a larger one counts as broken, since plain answers are
+/// kept until they are whole.
 const WHOLE: usize = 1 << 20;
 /// Time after which callers come back to an entry that knows no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(700);
 /// Least time that a repeat needs to be worth sending.
 pub(crate) const WORTH_REPEATING: Duration = Duration::from_millis(60);
+
 /// What calls share.
 ///
 /// Lock order: `desk` is the only lock and is never held across an await.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -73,7 +73,7 @@
 
 /// Exchanges load and news with other entries.
 ///
-/// Lock order: `members`, `seeds` and the locks of [`Context`] and [`Follow`] are each taken alone.
+/// Lock order: `members` before `seeds`; the locks of [`Context`] and [`Follow`] are taken alone.
 pub(crate) struct Gossip {
     socket: UdpSocket,
     process: id::Process,
