--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use conf::id;
-use fault::{ErrorKind, Fault, PROBLEM_TYPE, Run};
+use fault::{ErrorKind, Fault};
 use fleet::{Configuration, Repeat, Route, View};
-use http::{HeaderValue, Request, Response, StatusCode, header, request, response};
+use http::{HeaderValue, Request, Response, header, request, response};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use node::Shutdown;
@@ -24,10 +24,11 @@
     body::{self, Body},
     desk::Choice,
     flight::{Flight, note},
-    forward::{end_to_end, outgoing},
+    forward::outgoing,
     metrics::Metrics,
     outlet::{self, Broken, Link, Opened, Outlet},
     relay::Relay,
+    reply::{refuse, respond},
     resume::Resume,
     suspect::Fingerprint,
 };
@@ -632,53 +633,6 @@
     hash.digest()
 }
 
-/// Makes the answer to the caller from an endpoint's.
-fn respond(head: &response::Parts, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    *response.headers_mut() = end_to_end(&head.headers);
-    response
-}
-
-/// Answers with a refusal.
-fn refuse(context: &Context, id: &SmolStr, fault: &Fault, arrived: Instant) -> Response<Body> {
-    let status = context.dialect.status(fault);
-    let age = arrived.elapsed();
-    let run = if fault.run() == Run::No {
-        "no"
-    } else {
-        "unknown"
-    };
-    context
-        .metrics
-        .requests
-        .with_label_values(&[fault.kind().name()])
-        .inc();
-    log::info!(
-        request:% = id,
-        status = status.as_u16(),
-        reason:% = fault,
-        run = run,
-        retry_after_ms = fault.retry_time().map_or(0, millis),
-        version = context.view.borrow().configuration.as_ref().map_or(0, |c| c.version),
-        covered = context.view.borrow().covered,
-        age_ms = millis(age);
-        "refused"
-    );
-    let problem = fault.problem(id);
-    let bytes = serde_json::to_vec(&problem).unwrap_or_default();
-    let mut response = Response::new(body::whole(bytes.into()));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
-    if let Some(after) = fault.retry_time().filter(|_| {
-        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
-    }) {
-        headers.insert(header::RETRY_AFTER, context.dialect.retry_after(after));
-    }
-    response
-}
-
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod outlet;
 mod relay;
+mod reply;
 mod resume;
 mod run;
 mod server;
--- a/crates/direct/tests/suite/desk_choice.rs
+++ b/crates/direct/tests/suite/desk_choice.rs
@@ -167,7 +167,7 @@
     assert_ne!(placement.endpoint, "e2", "load goes first");
 }
 
-/// Found by a hunt: umlando-tags, late-orders-sides with seed 113724950092. A group stood still for 2.9 s
+/// Regression of bench day `late-orders-sides`, seed 113724950092. A group stood still for 2.9 s
 /// while drafts went on being sent into it, and their callers left.
 #[tokio::test(start_paused = true)]
 async fn silent_endpoints_spared() {
@@ -188,7 +188,7 @@
     assert_eq!(next.endpoint, second.endpoint);
 }
 
-/// Found by a hunt: umlando-tags-grown, lost-zone with seed 409565424063. A zone came back, its entries
+/// Regression of bench day `lost-zone`, seed 409565424063. A zone came back, its entries
 /// knew of few others yet, and a cold endpoint got 31 requests in a second in place of 27.
 #[tokio::test(start_paused = true)]
 async fn cold_endpoint_after_start() {
--- a/crates/direct/tests/suite/retry_budget.rs
+++ b/crates/direct/tests/suite/retry_budget.rs
@@ -34,7 +34,7 @@
     assert!(!budget.again(&"other".into(), 7, Instant::now()));
 }
 
-/// Found by the first score of umlando-tags-grown: after a loss of power 35 entries, each of which knew
+/// Regression of bench day `trouble-1` on 35 entries: after a loss of power 35 entries, each of which knew
 /// of a few others only, sent 1,265 repeats in ten seconds.
 #[tokio::test(start_paused = true)]
 async fn few_right_after_start() {
--- a/crates/fleet/tests/suite/lapsed_entries.rs
+++ b/crates/fleet/tests/suite/lapsed_entries.rs
@@ -22,7 +22,7 @@
     mirror
 }
 
-/// Found by a hunt: whetu-mend, scale-2 with seed 665897845032. One entry lost the store, got it back
+/// Regression of bench day `scale-2`, seed 665897845032. One entry lost the store, got it back
 /// and took an endpoint's leaving for a lapse.
 #[tokio::test(start_paused = true)]
 async fn left_within_bound() {
