Plan maps for what was chosen in the last seconds as well

Change: a plan counts what was chosen in the last 8 s by half (setting `map.lasting`). The leader also logs skew and pass time four times a second.

--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -18,6 +18,8 @@
 const FRESH: Duration = Duration::from_millis(1200);
 /// Time that ranks get to arm before the held pass is due.
 const LEAD_TIME: Duration = Duration::from_millis(220);
+/// Time between two log lines on how a group steps.
+const TELL: Duration = Duration::from_millis(250);
 /// Fewest passes that a hold is ahead.
 const LEAST_MARGIN: Pass = 3;
 /// Time of a pass before one was measured.
@@ -45,6 +47,8 @@
     /// Time in which counts lose weight by a factor of e.
     #[serde_as(as = "unit::Span")]
     pub memory: Duration,
+    /// Share in a plan of what was chosen in the last seconds, beside what was chosen of late.
+    pub lasting: f64,
     /// Choices in memory, for each set, from which a plan is made.
     pub least_mass: f64,
     /// Least time between the end of a switch and the next.
@@ -60,6 +64,7 @@
             least_skew: 1.6,
             least_gain: 0.3,
             memory: Duration::from_millis(400),
+            lasting: 0.5,
             least_mass: 20_000.0,
             rest: Duration::from_millis(100),
         }
@@ -97,6 +102,7 @@
     first_version: Version,
     created: Instant,
     rested: Instant,
+    told: Option<Instant>,
     pass: Option<(Pass, Instant, Duration)>,
 }
 
@@ -119,6 +125,7 @@
             first_version: 0,
             created: now,
             rested: now,
+            told: None,
             pass: None,
         }
     }
@@ -295,9 +302,28 @@
                 self.rested = now + BACKOFF;
             }
         }
+        self.tell(now);
         self.plan(now);
     }
 
+    /// Logs what this leader believes of the group, from time to time.
+    fn tell(&mut self, now: Instant) {
+        let due = self.told.is_none_or(|at| now.duration_since(at) >= TELL);
+        let Some(placement) = self.placement.as_ref().filter(|_| due) else {
+            return;
+        };
+        let skew = Balancer::skew(placement, &self.tally.popularity());
+        let pass = self.pass.map_or(PASS, |(_, _, span)| span);
+        log::info!(
+            epoch = self.epoch,
+            skew = format!("{skew:.3}"),
+            choices = self.tally.mass() as u64,
+            pass_ms = pass.as_millis() as u64;
+            "group steps"
+        );
+        self.told = Some(now);
+    }
+
     /// Starts a switch if one is worth it.
     fn plan(&mut self, now: Instant) {
         let fresh = |at: &Option<Instant>| at.is_some_and(|at| now.duration_since(at) < FRESH);
@@ -310,7 +336,7 @@
         if self.tally.mass() < self.tuning.least_mass {
             return;
         }
-        let popularity = self.tally.popularity();
+        let popularity = self.tally.blend(self.tuning.lasting);
         let balancer = Balancer::new(room, self.tuning.price * copy_time.as_secs_f64());
         let Some(step) = balancer.plan(placement, &popularity) else {
             return;
--- a/crates/steer/src/tally.rs
+++ b/crates/steer/src/tally.rs
@@ -36,13 +36,20 @@
     }
 }
 
-/// Estimates the popularity of experts from what ranks count, newest most.
+/// Time in which lasting counts lose weight by a factor of e: some changes of what requests are about.
+const LASTING: Duration = Duration::from_secs(8);
+
+/// Estimates the popularity of experts from what ranks count: of late, and lastingly.
+///
+/// A map that is planned for both keeps replicas of what was liked before and may be again.
 #[derive(Clone, Debug)]
 pub struct Tally {
     memory: Duration,
     sets: usize,
-    /// Decayed counts, set by set; empty until the first came in.
+    /// Counts that are forgotten soon, set by set; empty until the first came in.
     weights: Vec<f64>,
+    /// Counts that are forgotten slowly, as many.
+    lasting: Vec<f64>,
     at: Option<Instant>,
 }
 
@@ -54,6 +61,7 @@
             memory,
             sets,
             weights: Vec::new(),
+            lasting: Vec::new(),
             at: None,
         }
     }
@@ -62,13 +70,20 @@
     pub fn add(&mut self, fresh: &Sample, now: Instant) {
         if self.weights.len() != fresh.parts.len() {
             self.weights = vec![0.0; fresh.parts.len()];
+            self.lasting = vec![0.0; fresh.parts.len()];
         }
         let age = self.at.map_or(Duration::ZERO, |at| now.duration_since(at));
-        let keep = (-age.as_secs_f64() / self.memory.as_secs_f64()).exp();
         self.at = Some(now);
         let scale = f64::from(fresh.scale);
-        for (weight, part) in self.weights.iter_mut().zip(&fresh.parts) {
-            *weight = *weight * keep + f64::from(*part) * scale;
+        let memories = [
+            (&mut self.weights, self.memory),
+            (&mut self.lasting, LASTING),
+        ];
+        for (weights, memory) in memories {
+            let keep = (-age.as_secs_f64() / memory.as_secs_f64()).exp();
+            for (weight, part) in weights.iter_mut().zip(&fresh.parts) {
+                *weight = *weight * keep + f64::from(*part) * scale;
+            }
         }
     }
 
@@ -78,19 +93,40 @@
         self.weights.iter().sum::<f64>() / self.sets.max(1) as f64
     }
 
-    /// Returns the weights by set.
+    /// Returns the weights of late by set.
     #[must_use]
     pub fn popularity(&self) -> Vec<Vec<f64>> {
+        self.blend(0.0)
+    }
+
+    /// Returns weights by set of which a share is lasting; their sums are those of late.
+    #[must_use]
+    pub fn blend(&self, lasting: f64) -> Vec<Vec<f64>> {
         let experts = self.weights.len() / self.sets.max(1);
         if experts == 0 {
             return Vec::new();
         }
-        self.weights.chunks(experts).map(<[f64]>::to_vec).collect()
+        let sets = self.weights.chunks(experts);
+        let sets = sets.zip(self.lasting.chunks(experts));
+        sets.map(|(late, long)| {
+            let (late_sum, long_sum): (f64, f64) = (late.iter().sum(), long.iter().sum());
+            let scale = if long_sum > 0.0 {
+                late_sum / long_sum
+            } else {
+                0.0
+            };
+            let pairs = late.iter().zip(long);
+            pairs
+                .map(|(late, long)| late * (1.0 - lasting) + long * scale * lasting)
+                .collect()
+        })
+        .collect()
     }
 
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.weights.clear();
+        self.lasting.clear();
         self.at = None;
     }
 }
--- a/crates/steer/tests/suite/main.rs
+++ b/crates/steer/tests/suite/main.rs
@@ -3,3 +3,4 @@
 mod lead_plans;
 mod switch_model;
 mod tally_decay;
+mod topic_returns;
--- a/crates/steer/tests/suite/tally_decay.rs
+++ b/crates/steer/tests/suite/tally_decay.rs
@@ -35,3 +35,16 @@
         assert!(off <= 1_000_000.0 / 127.0, "{weight} for {count}");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn lasting_counts_blend() {
+    let mut tally = Tally::new(MEMORY, 1);
+    tally.add(&Sample::new(&[100, 0]), Instant::now());
+    time::advance(MEMORY * 4).await;
+    tally.add(&Sample::new(&[0, 100]), Instant::now());
+    let (late, blend) = (tally.popularity(), tally.blend(0.5));
+    let sum = |weights: &[f64]| weights.iter().sum::<f64>();
+    assert!((sum(&late[0]) - sum(&blend[0])).abs() < 1e-9);
+    assert!(late[0][0] < 0.02 * late[0][1], "{late:?}");
+    assert!(blend[0][0] > 0.2 * blend[0][1], "{blend:?}");
+}
