Plan for the newest choices alone once the topic has changed

From the change to the next map went 1.1 s: 0.38 s until it was noticed, 0.4 s of copying, 0.34 s of switching; and the plan was half for the topic that had gone.

Change: if the skew by the choices of the last 130 ms is 0.5 above the expected one, only those are planned for; copying takes 240 in place of 300 ms; ranks report every 10 ms while a pass is held or about to be; a hold is 150 in place of 220 ms ahead.

--- a/crates/steer/src/lead.rs
+++ b/crates/steer/src/lead.rs
@@ -12,12 +12,14 @@
     switch::{DEPUTIES, Progress},
 };
 
-/// Time between two reports of a rank while nothing is under way, and while a switch is.
+/// Time between two reports of a rank while nothing is under way, and while experts are copied.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(25));
+/// Time between two reports of a rank while a pass is held or about to be: each one delays a group.
+const HOLDING: Duration = Duration::from_millis(10);
 /// Age at which a rank's report is too old to plan from.
 const FRESH: Duration = Duration::from_millis(1200);
 /// Time that ranks get to arm before the held pass is due.
-const LEAD_TIME: Duration = Duration::from_millis(220);
+const LEAD_TIME: Duration = Duration::from_millis(150);
 /// Time between two log lines on how a group steps.
 const TELL: Duration = Duration::from_millis(250);
 /// Fewest passes that a hold is ahead.
@@ -47,6 +49,8 @@
     /// Time in which counts lose weight by a factor of e.
     #[serde_as(as = "unit::Span")]
     pub memory: Duration,
+    /// Rise of the skew by the newest choices from which only they are planned for.
+    pub sudden: f64,
     /// Share in a plan of what was chosen in the last seconds, beside what was chosen of late.
     pub lasting: f64,
     /// Choices in memory, for each set, from which a plan is made.
@@ -59,11 +63,12 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            copying: Duration::from_millis(300),
+            copying: Duration::from_millis(240),
             price: 0.035,
             least_skew: 1.6,
             least_gain: 0.3,
             memory: Duration::from_millis(400),
+            sudden: 0.5,
             lasting: 0.5,
             least_mass: 20_000.0,
             rest: Duration::from_millis(100),
@@ -165,7 +170,8 @@
         }
         let pause = match self.switch.phase() {
             Phase::Idle => PAUSES.0,
-            _ => PAUSES.1,
+            Phase::Preparing => PAUSES.1,
+            _ => HOLDING,
         };
         if status.epoch < self.epoch || rank >= self.ranks {
             return Instructions {
@@ -324,6 +330,18 @@
         self.told = Some(now);
     }
 
+    /// Returns the popularity to plan for: the newest alone once the topic has changed.
+    fn expected(&self, placement: &Placement) -> Vec<Vec<f64>> {
+        let newest = self.tally.newest();
+        let expected = self.tally.blend(self.tuning.lasting);
+        let rise = Balancer::skew(placement, &newest) - Balancer::skew(placement, &expected);
+        if rise > self.tuning.sudden {
+            newest
+        } else {
+            expected
+        }
+    }
+
     /// Starts a switch if one is worth it.
     fn plan(&mut self, now: Instant) {
         let fresh = |at: &Option<Instant>| at.is_some_and(|at| now.duration_since(at) < FRESH);
@@ -336,7 +354,7 @@
         if self.tally.mass() < self.tuning.least_mass {
             return;
         }
-        let popularity = self.tally.blend(self.tuning.lasting);
+        let popularity = self.expected(placement);
         let balancer = Balancer::new(room, self.tuning.price * copy_time.as_secs_f64());
         let Some(step) = balancer.plan(placement, &popularity) else {
             return;
--- a/crates/steer/src/tally.rs
+++ b/crates/steer/src/tally.rs
@@ -36,6 +36,8 @@
     }
 }
 
+/// Time in which the newest counts lose weight by a factor of e: one or two reports of each rank.
+const NEWEST: Duration = Duration::from_millis(130);
 /// Time in which lasting counts lose weight by a factor of e: some changes of what requests are about.
 const LASTING: Duration = Duration::from_secs(8);
 
@@ -48,6 +50,8 @@
     sets: usize,
     /// Counts that are forgotten soon, set by set; empty until the first came in.
     weights: Vec<f64>,
+    /// Counts that are forgotten at once, as many.
+    newest: Vec<f64>,
     /// Counts that are forgotten slowly, as many.
     lasting: Vec<f64>,
     at: Option<Instant>,
@@ -61,6 +65,7 @@
             memory,
             sets,
             weights: Vec::new(),
+            newest: Vec::new(),
             lasting: Vec::new(),
             at: None,
         }
@@ -70,12 +75,14 @@
     pub fn add(&mut self, fresh: &Sample, now: Instant) {
         if self.weights.len() != fresh.parts.len() {
             self.weights = vec![0.0; fresh.parts.len()];
+            self.newest = vec![0.0; fresh.parts.len()];
             self.lasting = vec![0.0; fresh.parts.len()];
         }
         let age = self.at.map_or(Duration::ZERO, |at| now.duration_since(at));
         self.at = Some(now);
         let scale = f64::from(fresh.scale);
         let memories = [
+            (&mut self.newest, NEWEST),
             (&mut self.weights, self.memory),
             (&mut self.lasting, LASTING),
         ];
@@ -99,6 +106,14 @@
         self.blend(0.0)
     }
 
+    /// Returns the newest weights by set, which follow a change of topic soonest.
+    #[must_use]
+    pub fn newest(&self) -> Vec<Vec<f64>> {
+        let experts = self.newest.len() / self.sets.max(1);
+        let sets = self.newest.chunks(experts.max(1));
+        sets.map(<[f64]>::to_vec).collect()
+    }
+
     /// Returns weights by set of which a share is lasting; their sums are those of late.
     #[must_use]
     pub fn blend(&self, lasting: f64) -> Vec<Vec<f64>> {
@@ -126,6 +141,7 @@
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.weights.clear();
+        self.newest.clear();
         self.lasting.clear();
         self.at = None;
     }
--- a/crates/steer/tests/suite/lead_plans.rs
+++ b/crates/steer/tests/suite/lead_plans.rs
@@ -54,6 +54,45 @@
     lead
 }
 
+/// Returns the skew that remains for the new topic when a plan is made just after the topic changed.
+async fn skew_after_change(sudden: f64) -> f64 {
+    let tuning = Tuning {
+        sudden,
+        // Nothing is planned before the change.
+        least_skew: 1.45,
+        ..tuning()
+    };
+    let mut lead = Lead::new(tuning, Instant::now());
+    lead.allow(6, 2, Duration::from_millis(100));
+    let topic = |hot: [usize; 2]| -> Vec<u32> {
+        let weight = |expert| if hot.contains(&expert) { 130 } else { 30 };
+        (0..EXPERTS).map(weight).collect()
+    };
+    for _ in 0..12 {
+        let told = meet(&mut lead, &topic([0, 1])).await;
+        assert!(told.iter().all(|told| told.order.is_none()));
+    }
+    let changed = topic([4, 8]);
+    for _ in 0..6 {
+        time::advance(Duration::from_millis(60)).await;
+        for rank in 0..RANKS {
+            let told = lead.meet(rank, status(rank, changed.clone()), Instant::now());
+            if let Some(Order::Prepare { placement, .. }) = told.order {
+                let popularity = changed.iter().map(|count| f64::from(*count)).collect();
+                return Balancer::skew(&placement, &[popularity]);
+            }
+        }
+    }
+    panic!("nothing is planned");
+}
+
+#[tokio::test(start_paused = true)]
+async fn sudden_change_alone_counts() {
+    let (newest, blended) = (skew_after_change(0.2).await, skew_after_change(99.0).await);
+    println!("skew for the new topic: {newest:.3}, with older choices as well {blended:.3}");
+    assert!(newest < blended);
+}
+
 /// Goes with a leader through a change until every rank but the last, whose agent is silent, is armed.
 #[tokio::test(start_paused = true)]
 async fn silent_agent_is_overdue() {
--- a/crates/steer/tests/suite/tally_decay.rs
+++ b/crates/steer/tests/suite/tally_decay.rs
@@ -15,6 +15,18 @@
     assert!(popularity[0][1] > 40.0 * popularity[0][0], "{popularity:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn newest_follow_soonest() {
+    let mut tally = Tally::new(MEMORY, 1);
+    tally.add(&Sample::new(&[1000, 0]), Instant::now());
+    time::advance(MEMORY / 2).await;
+    tally.add(&Sample::new(&[0, 1000]), Instant::now());
+    let (late, newest) = (tally.popularity(), tally.newest());
+    let share = |weights: &[f64]| weights[1] / (weights[0] + weights[1]);
+    assert!(share(&newest[0]) > 0.8, "{newest:?}");
+    assert!(share(&newest[0]) > share(&late[0]) + 0.1, "{late:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn ranks_add_up() {
     let mut tally = Tally::new(MEMORY, 2);
