Answer a stream that has no event before its caller leaves

The entry closed its connections at once, but a frozen machine hears of it only when it wakes, together with the next pass, which began the runs.

Ruled out: that the entry closed late (logs: "caller left" in the same millisecond, and machines that were not frozen dropped theirs: "doesn't run it").

The test failed first (the answer came at the deadline).

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -35,6 +35,8 @@
 
 /// Time by which an answer of this side comes before the deadline that it keeps.
 const MARGIN: Duration = Duration::from_millis(30);
+/// Time by which an answer comes before the caller of a stream that has no event yet leaves.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(100);
 /// Sends of one request, those included that reached no endpoint.
 pub(crate) const TRIES: usize = 5;
 /// Largest body of a plain answer, in bytes; a larger one counts as broken, since plain answers are
@@ -142,6 +144,8 @@
     fingerprint: Fingerprint,
     arrived: Instant,
     deadline: Instant,
+    /// Time by which an answer must have begun: for streams, shortly before the caller leaves.
+    begin_by: Instant,
     /// Endpoints that had the request.
     had: Vec<id::Endpoint>,
     /// Sends that may have been run.
@@ -203,6 +207,10 @@
             return Err(Fault::new(ErrorKind::Unauthenticated).detail(detail));
         }
         let limit = ask.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + limit.saturating_sub(MARGIN);
+        let patience = route
+            .patience
+            .map(|patience| arrived + patience.saturating_sub(PATIENCE_MARGIN));
         Ok(Self {
             service: split(&route, &ask.id),
             team: team.map(|t| t.name.clone()),
@@ -218,7 +226,8 @@
             head,
             body,
             arrived,
-            deadline: arrived + limit.saturating_sub(MARGIN),
+            deadline,
+            begin_by: patience.map_or(deadline, |by| by.min(deadline)),
             had: Vec::new(),
             runs: 0,
         })
@@ -242,7 +251,7 @@
                 Step::Declined => {}
                 Step::Unknown(reason) => {
                     if self.route.repeat == Repeat::Forbidden {
-                        let kind = match self.left().is_zero() {
+                        let kind = match self.left_to_begin().is_zero() {
                             true => ErrorKind::DeadlineRunning,
                             false => ErrorKind::Interrupted,
                         };
@@ -254,7 +263,7 @@
                 break;
             }
         }
-        let kind = if self.left() < WORTH_REPEATING {
+        let kind = if self.left_to_begin() < WORTH_REPEATING {
             ErrorKind::DeadlineExpired
         } else {
             ErrorKind::NoEndpoint
@@ -266,7 +275,7 @@
     /// Returns whether another endpoint may get the request.
     fn may_go_on(&self) -> bool {
         let repeatable = self.runs == 0 || self.route.repeat != Repeat::Forbidden;
-        repeatable && self.runs < self.route.attempts && self.left() >= WORTH_REPEATING
+        repeatable && self.runs < self.route.attempts && self.left_to_begin() >= WORTH_REPEATING
     }
 
     fn choose(&self) -> Choice {
@@ -285,7 +294,7 @@
         };
         let view = self.context.view.borrow().clone();
         let now = Instant::now();
-        if now >= self.deadline {
+        if now >= self.begin_by {
             return Err(ErrorKind::DeadlineExpired.into());
         }
         self.context.decide(|desk| desk.choose(&view, &send, now))
@@ -326,7 +335,7 @@
             request,
             fresh,
         );
-        match time::timeout_at(self.deadline, sending).await {
+        match time::timeout_at(self.begin_by, sending).await {
             Err(_) => {
                 self.runs += 1;
                 self.note(&flight, "no answer by the deadline", "");
@@ -473,7 +482,7 @@
         let resumable = self.route.repeat == Repeat::Resumable;
         let mut relay = Relay::new(flight, body, link, &head, self.ask.resumed);
         // Until the first event is here, another endpoint can still answer in full.
-        let first = match time::timeout_at(self.deadline, relay.next()).await {
+        let first = match time::timeout_at(self.begin_by, relay.next()).await {
             Ok(Ok(first)) => first,
             Ok(Err(reason)) => {
                 self.note(relay.flight(), "broke before its first event", &reason);
@@ -524,6 +533,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time in which an answer must begin.
+    fn left_to_begin(&self) -> Duration {
+        self.begin_by.saturating_duration_since(Instant::now())
+    }
+
     fn request(&self, placement: &Placement) -> Request<Full<Bytes>> {
         let offer = Offer {
             endpoint: &placement.endpoint,
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -43,6 +43,7 @@
         repeat: kind,
         stream,
         timeout: Duration::from_secs(3),
+        patience: stream.then_some(Duration::from_secs(1)),
         target: Duration::from_millis(400),
         attempts: 2,
         priority: 1,
--- a/crates/direct/tests/suite/whole_path.rs
+++ b/crates/direct/tests/suite/whole_path.rs
@@ -461,6 +461,30 @@
     assert_eq!(*stand.left.lock().unwrap(), 1);
 }
 
+/// The route of drafts lets callers wait 1 s for an event; the deadline is 3 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_stream_answered() {
+    let script = |_: &str| vec![Act::Wait(Duration::from_secs(5))];
+    let stands = [
+        Stand::start(Arc::new(script)).await,
+        Stand::start(Arc::new(script)).await,
+    ];
+    let entry = entry("drafts", &[&stands[0], &stands[1]]).await;
+    let began = std::time::Instant::now();
+    let answer = call(entry, DRAFT).await;
+    let took = began.elapsed();
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    time::sleep(Duration::from_millis(300)).await;
+    let left: u32 = stands.iter().map(|stand| *stand.left.lock().unwrap()).sum();
+    let runs: usize = stands.iter().map(Stand::runs).sum();
+    assert_eq!(
+        (left, runs),
+        (1, 1),
+        "it is cancelled, and no other gets it"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests_refused() {
     let stand = Stand::start(Arc::new(|r| vec![say(r, "found")])).await;
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -44,6 +44,10 @@
     pub timeout: Duration,
     /// Time within which an answer is on time (streams: the first event).
     pub target: Duration,
+    /// Time without an event after which the caller of a stream leaves; `None` if it waits as long as for
+    /// a plain answer.
+    #[serde(default)]
+    pub patience: Option<Duration>,
     /// Most endpoints that one request may be sent to.
     pub attempts: u32,
     /// Rank among routes; 0 comes first.
