--- a/crates/steer/src/rescue.rs
+++ b/crates/steer/src/rescue.rs
@@ -44,6 +44,7 @@
         crew.overdue(Instant::now())
             .is_some_and(|now| now == decision)
     };
+    // Rounds in which the first rank was known to hold a pass.
     let mut rounds = 0;
     while !finish.is_done() && overdue() && began.elapsed() < GIVE_UP {
         // Ranks that are armed need no further look, but for the first, whose pass is held.
