fleet: order changes by era, so that a restored store undoes nothing

Cause: revisions were compared as bare numbers. A store that comes back from a copy some seconds old gives numbers out again: changes of the new era would have been taken for old ones, endpoints that had left would have been in use again, and a zone that operators had taken out would have returned to service at once. Ruled out: comparing numbers alone after a relisting, since a number that is given out again may hold another change; trusting a watch that leads into a new era, since it cannot tell what the era lacks. Change: `Revision` holds era and number. Only a complete listing leads into a later era, nothing leads back.

--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -45,7 +45,7 @@
         run = run,
         retry_after_ms = fault.retry_delay().map_or(0, millis),
         version = context.view.borrow().configuration.as_ref().map_or(0, |c| c.version),
-        covered = context.view.borrow().covered,
+        covered:% = context.view.borrow().covered,
         age_ms = millis(age);
         "refused"
     );
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -129,7 +129,7 @@
             )),
             cold_until: now,
             expires_at: None,
-            revision: 1,
+            revision: 1.into(),
         };
         view.endpoints.insert(format!("e{index}").into(), known);
     }
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Ordering,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -24,6 +25,24 @@
 /// Time between two checks for lapsed endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Returns an error if a page cannot be applied, since it is of another era than the replica at
+/// `covered`: only a complete listing leads into a new era, and none leads back.
+fn check_era(
+    result: Result<Page, SourceError>,
+    is_listing: bool,
+    covered: Revision,
+) -> Result<Page, SourceError> {
+    let page = result?;
+    match page.covered.era.cmp(&covered.era) {
+        Ordering::Less => Err(SourceError::Unavailable(format!(
+            "response of the earlier era {}",
+            page.covered.era
+        ))),
+        Ordering::Greater if !is_listing => Err(SourceError::Restored(page.covered.era)),
+        _ => Ok(page),
+    }
+}
+
 /// Keeps a [`Replica`] up to date with the store and publishes its [`View`].
 ///
 /// Lock order: `replica` is the only lock and is never held across an await.
@@ -90,7 +109,7 @@
 
     fn publish(&self, updates: &[Update], view: View, from: &str) {
         for update in updates {
-            log::info!(from = from, covered = view.covered, learned:? = update; "learned");
+            log::info!(from = from, covered:% = view.covered, learned:? = update; "learned");
         }
         let version = view.configuration.as_ref().map_or(0, |c| c.version);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -114,16 +133,18 @@
             } else {
                 source.list().await
             };
+            let result = check_era(result, !listed, covered);
             let outcome = match &result {
                 Ok(_) => "ok",
                 Err(SourceError::Compacted) => "compacted",
+                Err(SourceError::Restored(_)) => "restored",
                 Err(SourceError::Unavailable(_)) => "unavailable",
             };
             self.calls.with_label_values(&[outcome]).inc();
             match result {
                 Ok(page) => {
                     if std::mem::take(&mut unavailable) {
-                        log::info!(covered = covered; "store is available again");
+                        log::info!(covered:% = covered; "store is available again");
                     }
                     (listed, retry_delay) = (true, MIN_RETRY_DELAY);
                     let changed = !page.changes.is_empty();
@@ -133,12 +154,16 @@
                     }
                 }
                 Err(SourceError::Compacted) => {
-                    log::info!(covered = covered; "store compacted its history; listing all items");
+                    log::info!(covered:% = covered; "store compacted its history; listing all items");
+                    listed = false;
+                }
+                Err(SourceError::Restored(era)) => {
+                    log::warn!(covered:% = covered, era = era; "store was restored from an older copy; listing all items");
                     listed = false;
                 }
                 Err(SourceError::Unavailable(reason)) => {
                     if !std::mem::replace(&mut unavailable, true) {
-                        log::warn!(covered = covered, reason = reason; "store is unavailable");
+                        log::warn!(covered:% = covered, reason = reason; "store is unavailable");
                     }
                     self.with_replica(|replica| replica.note_failure(Instant::now()));
                     let jitter = rand::random_range(0.7..1.3);
--- a/crates/fleet/src/item.rs
+++ b/crates/fleet/src/item.rs
@@ -4,10 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{Configuration, Endpoint};
-
-/// Position of a change in the store's total order of changes.
-pub type Revision = u64;
+use crate::{Configuration, Endpoint, Revision};
 
 /// Decoded content of an item.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,14 +8,16 @@
 mod follower;
 mod item;
 mod replica;
+mod revision;
 mod routing;
 mod source;
 mod view;
 
 pub use endpoint::{Endpoint, Stage};
 pub use follower::Follower;
-pub use item::{Change, Content, Item, Page, Revision};
+pub use item::{Change, Content, Item, Page};
 pub use replica::{LAPSE_GRACE, REREGISTRATION_WINDOW, Replica, Update};
+pub use revision::Revision;
 pub use routing::{Configuration, Engine, Limits, Repeat, Route, Service, Split, Team};
 pub use source::{Error as SourceError, Source};
 pub use view::{Registration, View};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -22,6 +22,9 @@
 /// The outage may affect this process alone, and the endpoint may really have left: the time stays
 /// below two seconds, the platform's smallest limit for sending work to an endpoint that has left.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1300);
+/// Time for which removals are remembered, so that a store that is restored from an older copy does not
+/// undo them. The copy is some seconds old, and what left before it lapses there within seconds.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
 
 /// Effect of a change on the replica, for the log.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,12 +44,33 @@
     ZoneOut(id::Zone),
     /// Operators returned a zone to service.
     ZoneIn(id::Zone),
+    /// The store began a new era with an older copy of its items.
+    Era(u64),
+    /// An item of the new era was ignored, since it is a copy from before its removal.
+    Restored(SmolStr),
+    /// Items of an earlier era were ignored.
+    OldEra(u64),
+}
+
+/// Item that was removed, for comparison with those of a later era.
+#[derive(Clone, Debug)]
+struct Removal {
+    /// Era in which the item was removed.
+    era: u64,
+    /// Last revision number of the item.
+    number: u64,
+    content: Content,
+    at: Instant,
 }
 
 /// Local copy of the store.
 ///
 /// Pages may come from several sources and in any order: an item changes only to a higher
 /// revision, and the configuration only to a higher version.
+///
+/// After the store was restored from an older copy, its listing leads into the new era. What it lacks
+/// is kept for a short time, in which endpoints and operators write it again; what it has again after a
+/// removal stays removed until it is written anew.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     items: BTreeMap<SmolStr, Item>,
@@ -55,6 +79,10 @@
     tombstones: HashMap<SmolStr, Revision>,
     /// Endpoints whose registrations lapsed, with the time until which they stay in use.
     lapsed: BTreeMap<id::Endpoint, (Registration, Instant)>,
+    /// Zones that were out of service and are missing in a new era, with the time until which they stay
+    /// out of service.
+    lapsed_zones: BTreeMap<id::Zone, Instant>,
+    removals: HashMap<SmolStr, Removal>,
     cold_until: HashMap<id::Endpoint, Instant>,
     newest: Revision,
     configuration: Option<Arc<Configuration>>,
@@ -102,6 +130,7 @@
             covered: self.covered,
             ..View::default()
         };
+        view.zones_out.extend(self.lapsed_zones.keys().cloned());
         for (id, (registration, _)) in &self.lapsed {
             view.endpoints.insert(id.clone(), registration.clone());
         }
@@ -135,13 +164,12 @@
         }
     }
 
-    /// Returns the earliest time at which a lapsed endpoint goes out of use.
+    /// Returns the earliest time at which a lapsed endpoint goes out of use, or a lapsed zone returns to
+    /// service.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.lapsed
-            .values()
-            .map(|(_, expires_at)| *expires_at)
-            .min()
+        let endpoints = self.lapsed.values().map(|(_, expires_at)| *expires_at);
+        endpoints.chain(self.lapsed_zones.values().copied()).min()
     }
 }
 
@@ -156,11 +184,25 @@
     /// Applies a page and returns its effects.
     pub fn apply(&mut self, page: Page, now: Instant) -> Vec<Update> {
         let mut updates = Vec::new();
-        if let Some(keys) = &page.keys {
+        if page.covered.era < self.covered.era {
+            updates.push(Update::OldEra(page.covered.era));
+            return updates;
+        }
+        if page.covered.era > self.covered.era {
+            let Some(keys) = &page.keys else {
+                // Without a listing it is unknown which items the new era has.
+                return updates;
+            };
+            self.enter_era(keys, page.covered, now, &mut updates);
+        } else if let Some(keys) = &page.keys {
             self.remove_unlisted(keys, page.covered, now, &mut updates);
         }
+        let is_listing = page.keys.is_some();
         for change in page.changes {
             match change {
+                Change::Put(item) if is_listing && self.is_restored_copy(&item, now) => {
+                    updates.push(Update::Restored(item.key));
+                }
                 Change::Put(item) => self.put(item, now, &mut updates),
                 Change::Removed { key, revision } => {
                     self.remove(&key, revision, now, &mut updates);
@@ -173,6 +215,53 @@
         updates
     }
 
+    /// Enters a later era with a listing at revision `covered`.
+    fn enter_era(
+        &mut self,
+        keys: &[SmolStr],
+        covered: Revision,
+        now: Instant,
+        updates: &mut Vec<Update>,
+    ) {
+        // The first listing of a process leads into an era, but no earlier one ended.
+        if !self.items.is_empty() {
+            updates.push(Update::Era(covered.era));
+            self.lapses_until = Some(now + REREGISTRATION_WINDOW);
+        }
+        self.newest = self.newest.max(covered);
+        let listed: HashSet<&SmolStr> = keys.iter().collect();
+        let lost_zones = self.items.values().filter_map(|item| match &item.content {
+            Content::ZoneOut(zone) if !listed.contains(&item.key) => Some(zone.clone()),
+            _ => None,
+        });
+        let expires_at = now + REREGISTRATION_WINDOW;
+        let lost_zones: Vec<_> = lost_zones.map(|zone| (zone, expires_at)).collect();
+        self.remove_unlisted(keys, covered, now, updates);
+        for (zone, _) in &lost_zones {
+            updates.retain(|update| *update != Update::ZoneIn(zone.clone()));
+        }
+        self.lapsed_zones.extend(lost_zones);
+    }
+
+    /// Returns whether a listed item is a copy from before its removal in an earlier era.
+    fn is_restored_copy(&self, item: &Item, now: Instant) -> bool {
+        let Some(removal) = self.removals.get(&item.key) else {
+            return false;
+        };
+        let same_subject = match (&removal.content, &item.content) {
+            (Content::Endpoint(_, removed), Content::Endpoint(_, listed)) => {
+                removed.started_ms == listed.started_ms
+            }
+            (Content::ZoneOut(_), Content::ZoneOut(_)) => true,
+            _ => false,
+        };
+        same_subject
+            && !self.items.contains_key(&item.key)
+            && item.revision.era > removal.era
+            && item.revision.number <= removal.number
+            && now.duration_since(removal.at) < REMOVAL_MEMORY
+    }
+
     /// Removes the lapsed endpoints whose grace time has passed.
     pub fn expire(&mut self, now: Instant) -> Vec<Update> {
         let is_expired = |expires_at: &Instant| *expires_at <= now;
@@ -181,24 +270,36 @@
             .iter()
             .filter(|(_, (_, expires_at))| is_expired(expires_at))
             .collect();
-        let updates = expired
+        let mut updates: Vec<_> = expired
             .iter()
             .map(|(id, _)| Update::Gone((*id).clone()))
             .collect();
         self.lapsed
             .retain(|_, (_, expires_at)| !is_expired(expires_at));
+        let zones = self
+            .lapsed_zones
+            .extract_if(.., |_, expires_at| is_expired(expires_at));
+        updates.extend(zones.map(|(zone, _)| Update::ZoneIn(zone)));
         updates
     }
 
-    fn put(&mut self, item: Item, now: Instant, updates: &mut Vec<Update>) {
-        let current = self.items.get(&item.key).map_or(0, |old| old.revision);
-        let removed = self.tombstones.get(&item.key).copied().unwrap_or(0);
+    fn put(&mut self, mut item: Item, now: Instant, updates: &mut Vec<Update>) {
+        let known = self.items.get(&item.key);
+        let current = known.map_or(Revision::default(), |old| old.revision);
+        let removed = self.tombstones.get(&item.key).copied().unwrap_or_default();
         // All changes up to `covered` are applied, so an item missing here was removed since.
         let obsolete = !self.items.contains_key(&item.key) && item.revision <= self.covered;
         if item.revision <= current.max(removed) || obsolete {
             return;
         }
+        if let Some(known) = known
+            && item.revision.era > known.revision.era
+            && is_return_from_draining(&known.content, &item.content)
+        {
+            item.content = known.content.clone();
+        }
         self.newest = self.newest.max(item.revision);
+        self.removals.remove(&item.key);
         match &item.content {
             Content::Configuration(next) if next.version > self.version() => {
                 self.configuration = Some(next.clone());
@@ -209,7 +310,10 @@
                 self.register(id, endpoint, now);
                 updates.push(Update::Endpoint(id.clone(), endpoint.stage));
             }
-            Content::ZoneOut(zone) => updates.push(Update::ZoneOut(zone.clone())),
+            Content::ZoneOut(zone) => {
+                self.lapsed_zones.remove(zone);
+                updates.push(Update::ZoneOut(zone.clone()));
+            }
             Content::Other => {}
         }
         self.items.insert(item.key.clone(), item);
@@ -234,6 +338,12 @@
         let Some(item) = self.items.remove(key) else {
             return;
         };
+        let removal = Removal {
+            era: revision.era,
+            number: item.revision.number,
+            content: item.content.clone(),
+            at: now,
+        };
         match item.content {
             Content::Endpoint(id, endpoint) => {
                 let may_lapse = self.lapses_until.filter(|until| *until > now);
@@ -246,14 +356,27 @@
                         self.lapsed.insert(id.clone(), (registration, expires_at));
                         updates.push(Update::Lapsed(id));
                     }
-                    _ => updates.push(Update::Gone(id)),
+                    _ => {
+                        self.remember(key, removal, now);
+                        updates.push(Update::Gone(id));
+                    }
                 }
             }
-            Content::ZoneOut(zone) => updates.push(Update::ZoneIn(zone)),
+            Content::ZoneOut(zone) => {
+                self.remember(key, removal, now);
+                updates.push(Update::ZoneIn(zone));
+            }
             Content::Configuration(_) | Content::Other => {}
         }
     }
 
+    /// Remembers a removal that is not a mere lapse.
+    fn remember(&mut self, key: &str, removal: Removal, now: Instant) {
+        self.removals
+            .retain(|_, removal| now.duration_since(removal.at) < REMOVAL_MEMORY);
+        self.removals.insert(key.into(), removal);
+    }
+
     /// Removes the items that a complete listing at revision `covered` does not name.
     fn remove_unlisted(
         &mut self,
@@ -262,7 +385,7 @@
         now: Instant,
         updates: &mut Vec<Update>,
     ) {
-        let listed: std::collections::HashSet<&SmolStr> = keys.iter().collect();
+        let listed: HashSet<&SmolStr> = keys.iter().collect();
         let unlisted: Vec<SmolStr> = self
             .items
             .values()
@@ -275,3 +398,13 @@
         }
     }
 }
+
+/// Returns whether `next` is a copy of an endpoint from before it began to drain, in `known`.
+fn is_return_from_draining(known: &Content, next: &Content) -> bool {
+    let (Content::Endpoint(_, known), Content::Endpoint(_, next)) = (known, next) else {
+        return false;
+    };
+    known.started_ms == next.started_ms
+        && known.stage == Stage::Draining
+        && next.stage == Stage::Ready
+}
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -9,6 +9,8 @@
 pub enum Error {
     /// The store no longer has the changes after the revision; the whole store must be listed again.
     Compacted,
+    /// The store has begun this era with an older copy of its items; the whole store must be listed again.
+    Restored(u64),
     /// The store refused the call or cannot be reached, for this reason.
     Unavailable(String),
 }
@@ -17,6 +19,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Compacted => f.write_str("the store no longer has the requested changes"),
+            Error::Restored(era) => write!(f, "the store has begun era {era}"),
             Error::Unavailable(reason) => f.write_str(reason),
         }
     }
@@ -31,5 +34,7 @@
 
     /// Waits for changes after a revision; the page is empty if none occurs within the wait time of
     /// the implementation.
+    ///
+    /// If the store has begun another era, the page is of that era and may lack changes.
     fn watch(&self, after: Revision) -> BoxFuture<'_, Result<Page, Error>>;
 }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod lapsed_registrations;
 mod replica_order;
+mod store_eras;
 mod store_follower;
 mod support;
--- a/crates/fleet/tests/suite/replica_order.rs
+++ b/crates/fleet/tests/suite/replica_order.rs
@@ -60,7 +60,7 @@
     let updates = replica.apply(listing, now);
     assert_eq!(updates, [Update::Gone("e1".into())]);
     assert_eq!(endpoint_ids(&replica), ["e2"]);
-    assert_eq!(replica.covered(), 8);
+    assert_eq!(replica.covered(), 8.into());
 }
 
 #[tokio::test(start_paused = true)]
@@ -75,7 +75,7 @@
         now,
     );
     let mut receiver = Replica::default();
-    receiver.apply(sender.changes_since(0), now);
+    receiver.apply(sender.changes_since(0.into()), now);
     sender.apply(
         page(
             vec![removed("servers/e1", 3), endpoint("e2", Stage::Ready, 4)],
@@ -93,6 +93,6 @@
     assert_eq!(endpoint_ids(&receiver), ["e2"]);
     assert_eq!(
         (receiver.version(), receiver.covered(), receiver.newest()),
-        (3, 4, 4)
+        (3, 4.into(), 4.into())
     );
 }
--- a/crates/fleet/tests/suite/store_follower.rs
+++ b/crates/fleet/tests/suite/store_follower.rs
@@ -13,19 +13,23 @@
 
 /// Store that returns prepared results and records its calls.
 #[derive(Default)]
-struct FakeStore {
+pub(crate) struct FakeStore {
     results: Mutex<VecDeque<Result<Page, SourceError>>>,
     calls: Mutex<Vec<String>>,
 }
 
 impl FakeStore {
-    fn new(results: Vec<Result<Page, SourceError>>) -> Arc<Self> {
+    pub(crate) fn new(results: Vec<Result<Page, SourceError>>) -> Arc<Self> {
         Arc::new(Self {
             results: Mutex::new(results.into()),
             calls: Mutex::default(),
         })
     }
 
+    pub(crate) fn calls(&self) -> Vec<String> {
+        self.calls.lock().unwrap().clone()
+    }
+
     fn next(&self, call: String) -> BoxFuture<'_, Result<Page, SourceError>> {
         self.calls.lock().unwrap().push(call);
         let result = self.results.lock().unwrap().pop_front();
@@ -67,7 +71,7 @@
         *store.calls.lock().unwrap(),
         ["list", "watch 1", "list", "watch 9"]
     );
-    assert_eq!(follower.position(), (9, 9, 2));
+    assert_eq!(follower.position(), (9.into(), 9.into(), 2));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/fleet/tests/suite/support.rs
+++ b/crates/fleet/tests/suite/support.rs
@@ -2,7 +2,7 @@
 
 use fleet::{Change, Configuration, Content, Endpoint, Item, Limits, Page, Revision, Stage};
 
-pub(crate) fn endpoint(id: &str, stage: Stage, revision: Revision) -> Change {
+pub(crate) fn endpoint(id: &str, stage: Stage, revision: impl Into<Revision>) -> Change {
     let endpoint = Endpoint {
         service: "drafts".into(),
         address: ([127, 0, 0, 1], 8080).into(),
@@ -14,12 +14,12 @@
     };
     Change::Put(Item {
         key: format!("servers/{id}").into(),
-        revision,
+        revision: revision.into(),
         content: Content::Endpoint(id.into(), Arc::new(endpoint)),
     })
 }
 
-pub(crate) fn configuration(version: u64, revision: Revision) -> Change {
+pub(crate) fn configuration(version: u64, revision: impl Into<Revision>) -> Change {
     let configuration = Configuration {
         version,
         routes: Vec::new(),
@@ -35,22 +35,22 @@
     };
     Change::Put(Item {
         key: "configuration".into(),
-        revision,
+        revision: revision.into(),
         content: Content::Configuration(Arc::new(configuration)),
     })
 }
 
-pub(crate) fn removed(key: &str, revision: Revision) -> Change {
+pub(crate) fn removed(key: &str, revision: impl Into<Revision>) -> Change {
     Change::Removed {
         key: key.into(),
-        revision,
+        revision: revision.into(),
     }
 }
 
-pub(crate) fn page(changes: Vec<Change>, covered: Revision) -> Page {
+pub(crate) fn page(changes: Vec<Change>, covered: impl Into<Revision>) -> Page {
     Page {
         changes,
-        covered,
+        covered: covered.into(),
         keys: None,
     }
 }
