direct: keep the fleet's bounds by construction, and heed what endpoints say of themselves

Endpoints that state that they leave, or that name a time, were sent to all the same; the body of a response that declines a request was awaited without a limit. Ruled out: shares among the entries heard of lately alone, since entries that are cut off or just started hear of few. Change: an entry whose share of a cold rate is below one request waits for a random part of its interval first, and such entries use half of the rate together; a cold endpoint is chosen after warm ones with a free slot. A quarter of the retry allowance is kept for restarted processes, one each; retries count for 1.1 windows; lost entries count for a minute more. Leaving endpoints get nothing more, at any entry that learns it by gossip; pauses are kept; one that declined is avoided for a second. Bodies of declines are read for 20 ms and 16 KiB, heads of responses up to 64 KiB.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -7,7 +7,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Bounds, Budget, Health, Load, Loads, Stalls, Suspects, cold,
+    Bounds, Budget, Departures, Health, Load, Loads, Pauses, Stalls, Suspects, cold,
+    departures::Incarnation,
     suspects::{CrashId, Fingerprint},
     window::STARTUP_ENTRIES,
 };
@@ -28,10 +29,16 @@
 /// Score penalty of an endpoint with a failure rate of 1, in generating requests; lower rates count in
 /// proportion.
 const FAILURE_PENALTY: f64 = 12.0;
+/// Score penalty of an endpoint that has just declined a request, in generating requests; it fades within
+/// a second.
+const DECLINE_PENALTY: f64 = 8.0;
 /// Maximum number of requests that wait at an engine in addition to those in its slots.
 const MAX_WAITING: u32 = 2;
 /// Time after its start in which an entry may not know all other entries yet.
 const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// Time for which the fleet's limits are still divided among entries that are no longer heard of: they
+/// may only be cut off from this one.
+const ENTRY_MEMORY: Duration = Duration::from_secs(60);
 /// Shortest and longest `Retry-After` time when all endpoints of a service are at their limit.
 ///
 /// A generating request ends within this range on average, so that a slot is free by then.
@@ -76,6 +83,8 @@
     pub requests: u32,
     /// Whether the endpoint is cold, so that its request rate is limited.
     pub cold: bool,
+    /// Incarnation of the endpoint that is registered under the id.
+    pub incarnation: Incarnation,
 }
 
 /// Chosen endpoint, or the error response if there is none.
@@ -106,9 +115,13 @@
     bounds: Bounds,
     /// Number of entries among which the fleet's limits are divided.
     entries: usize,
+    /// Largest number of entries before the last ones were lost, and the time of that loss.
+    lost_entries: Option<(usize, Instant)>,
     started: Instant,
     loads: Loads,
     health: Health,
+    departures: Departures,
+    pauses: Pauses,
     cold: cold::Limiter,
     budget: Budget,
     suspects: Suspects,
@@ -130,11 +143,14 @@
         Self {
             zone,
             entries: bounds.entries,
+            lost_entries: None,
             started: now,
             bounds,
             loads: Loads::default(),
             health: Health::default(),
-            cold: cold::Limiter::default(),
+            departures: Departures::default(),
+            pauses: Pauses::default(),
+            cold: cold::Limiter::new(seed),
             budget,
             suspects: Suspects::default(),
             stalls: Stalls::default(),
@@ -159,7 +175,8 @@
                 .fail_unavailable(attempt)
                 .detail("no endpoint is present, reachable and making progress"));
         };
-        if attempt.is_retry && !self.budget.try_retry(attempt.service, self.entries, now) {
+        let entries = self.entry_count(now);
+        if attempt.is_retry && !self.budget.try_retry(attempt.service, entries, now) {
             let detail = "the budget for repeats is used up";
             return Err(self.fail_overloaded(ErrorKind::Overloaded).detail(detail));
         }
@@ -194,15 +211,23 @@
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
         let is_discovery_over = now.duration_since(self.started) >= DISCOVERY_TIME;
         let entries = match is_discovery_over {
-            true => self.entries,
-            false => self.entries.max(STARTUP_ENTRIES),
+            true => self.entry_count(now),
+            false => self.entry_count(now).max(STARTUP_ENTRIES),
         };
         let (mut best, mut limit_kind): (Option<(f64, Placement)>, _) = (None, None);
+        let mut first_pause_end: Option<Instant> = None;
         for (id, known) in view.available(attempt.service, now) {
             let skipped = self.health.is_ejected(id, now)
                 || self.stalls.is_stalled(id, now)
                 || self.loads.is_unresponsive(id, now);
-            if attempt.excluded.contains(id) || skipped {
+            let incarnation = known.endpoint.started_ms;
+            let is_leaving = self.departures.is_leaving(id, incarnation);
+            if attempt.excluded.contains(id) || skipped || is_leaving {
+                continue;
+            }
+            if let Some(until) = self.pauses.until(id, now) {
+                let first = first_pause_end.map_or(until, |end| end.min(until));
+                first_pause_end = Some(first);
                 continue;
             }
             let load = self.loads.total(id, now);
@@ -219,7 +244,7 @@
             }
             let mut score =
                 f64::from(load.requests) + f64::from(load.pending_tokens) / TOKENS_PER_REQUEST;
-            score += self.penalty(id, known, cold);
+            score += self.penalty(id, known, cold, now);
             if attempt.connected.contains(id) {
                 score -= CONNECTION_BONUS;
             }
@@ -231,29 +256,35 @@
                     prompt_tokens: attempt.prompt_tokens,
                     requests: load.requests,
                     cold,
+                    incarnation,
                 };
                 best = Some((score, placement));
             }
         }
-        match (best, limit_kind) {
-            (None, Some(kind)) => Err(self.fail_overloaded(kind)),
-            (best, _) => Ok(best.map(|(_, placement)| placement)),
+        match (best, limit_kind, first_pause_end) {
+            (None, Some(kind), _) => Err(self.fail_overloaded(kind)),
+            (None, None, Some(end)) => Err(Fault::new(ErrorKind::Overloaded)
+                .retry_after(end.duration_since(now))
+                .detail("all endpoints asked for a pause")),
+            (best, ..) => Ok(best.map(|(_, placement)| placement)),
         }
     }
 
     /// Returns the part of an endpoint's score that does not depend on its load.
-    fn penalty(&self, id: &id::Endpoint, known: &Registration, cold: bool) -> f64 {
+    fn penalty(&self, id: &id::Endpoint, known: &Registration, cold: bool, now: Instant) -> f64 {
         let other_zone = if known.endpoint.zone == self.zone {
             0.0
         } else {
             OTHER_ZONE_PENALTY
         };
         let slow_start = if cold {
-            f64::from(known.endpoint.slots) / 2.0
+            f64::from(known.endpoint.slots)
         } else {
             0.0
         };
-        other_zone + slow_start + self.health.failure_rate(id) * FAILURE_PENALTY
+        let failures = self.health.failure_rate(id) * FAILURE_PENALTY;
+        let declined = self.health.recent_decline(id, now) * DECLINE_PENALTY;
+        other_zone + slow_start + failures + declined
     }
 
     /// Creates the fault for a service whose endpoints are all at their limit.
@@ -308,11 +339,24 @@
             Outcome::Unreached | Outcome::Broke => {
                 return self.health.record_connection_failure(id, now);
             }
-            Outcome::Declined | Outcome::Dropped => {}
+            Outcome::Declined => self.health.record_declined(id, now),
+            Outcome::Dropped => {}
         }
         false
     }
 
+    /// Records that the endpoint of a placement stated that it is leaving; returns false if that was
+    /// known.
+    pub fn record_leaving(&mut self, placement: &Placement, now: Instant) -> bool {
+        self.departures
+            .record(&placement.endpoint, placement.incarnation, now)
+    }
+
+    /// Records that an endpoint asked this entry to send nothing for some time.
+    pub fn record_pause(&mut self, placement: &Placement, pause: Duration, now: Instant) {
+        self.pauses.record(&placement.endpoint, pause, now);
+    }
+
     /// Records that a connection broke while an endpoint ran a request.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: CrashId, now: Instant) {
         self.suspects.record_crash(fingerprint, crash, now);
@@ -341,20 +385,61 @@
     }
 
     /// Removes the state of endpoints that are not in `view`.
-    pub fn retain_known(&mut self, view: &View) {
+    pub fn retain_known(&mut self, view: &View, now: Instant) {
         let known = |id: &id::Endpoint| view.endpoints.contains_key(id);
+        let is_cold = |id: &id::Endpoint| {
+            let registration = view.endpoints.get(id);
+            registration.is_some_and(|registration| registration.cold_until > now)
+        };
         self.loads.retain(known);
         self.health.retain(known);
-        self.cold.retain(known);
+        self.cold.retain(is_cold);
         self.stalls.retain(known);
+        self.departures.retain(known, now);
+        self.pauses.remove_expired(now);
     }
 }
 
 /// # Other entries
 impl Balancer {
     /// Sets how many entries divide the fleet's limits; the number from the settings is the minimum.
-    pub fn set_entry_count(&mut self, entries: usize) {
+    ///
+    /// A smaller number takes effect after a minute only.
+    pub fn set_entry_count(&mut self, entries: usize, now: Instant) {
+        let before = self.entry_count(now);
         self.entries = entries.max(self.bounds.entries);
+        if self.entries < before {
+            self.lost_entries = Some((before, now));
+        }
+    }
+
+    /// Returns among how many entries the fleet's limits are divided.
+    fn entry_count(&self, now: Instant) -> usize {
+        let lost = self
+            .lost_entries
+            .filter(|(_, at)| now.duration_since(*at) < ENTRY_MEMORY);
+        lost.map_or(self.entries, |(before, _)| before.max(self.entries))
+    }
+
+    /// Lists up to `limit` endpoints that stated lately that they are leaving.
+    #[must_use]
+    pub fn recent_departures(
+        &self,
+        limit: usize,
+        now: Instant,
+    ) -> Vec<(id::Endpoint, Incarnation)> {
+        self.departures.recent(limit, now)
+    }
+
+    /// Records that another entry heard from an endpoint that it is leaving; returns false if that was
+    /// known.
+    pub fn record_reported_departure(
+        &mut self,
+        endpoint: &id::Endpoint,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> bool {
+        self.departures.record(endpoint, incarnation, now)
     }
 
     /// Lists this entry's own load on each endpoint that has any.
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -6,7 +6,17 @@
 use conf::id;
 use tokio::time::Instant;
 
-use crate::window::{self, STARTUP_ENTRIES};
+use crate::window;
+
+/// Factor by which the window over which retries are counted is longer than the fleet's: retries sent
+/// within one window may arrive within a shorter one.
+const RETRY_WINDOW_FACTOR: f64 = 1.1;
+/// Part of the fixed allowance that is kept for processes in their first window.
+const STARTUP_RESERVE: f64 = 0.25;
+/// Retries of the fixed allowance that a process may send in its first window.
+///
+/// The reserve holds as many for each entry of a fleet: the platform allows at least four for each.
+const STARTUP_RETRIES: f64 = 1.0;
 
 /// Limits the retries to each service over a sliding window.
 ///
@@ -51,20 +61,20 @@
 
     /// Spends one retry of this entry, one of `entries`; returns false if none is left.
     ///
-    /// In its first window a process gets only a small part of the fixed allowance: it may have used
-    /// its part before a restart, and may not have heard of all entries yet.
+    /// In its first window a process gets a retry of the reserve in place of its part of the fixed
+    /// allowance: it may have used that part before a restart, and may not have heard of all entries.
     pub fn try_retry(&mut self, service: &id::Service, entries: usize, now: Instant) -> bool {
         let usage = self.services.entry(service.clone()).or_default();
         window::remove_expired(&mut usage.requests, self.window, now);
-        window::remove_expired(&mut usage.retries, self.window, now);
+        let retry_window = self.window.mul_f64(RETRY_WINDOW_FACTOR);
+        window::remove_expired(&mut usage.retries, retry_window, now);
         let is_first_window_over = now.duration_since(self.started) >= self.window;
-        let entries = if is_first_window_over {
-            entries
+        let allowance = if is_first_window_over {
+            self.allowance * (1.0 - STARTUP_RESERVE) / entries.max(1) as f64
         } else {
-            entries.max(STARTUP_ENTRIES)
+            STARTUP_RETRIES.min(self.allowance * STARTUP_RESERVE)
         };
-        let allowed =
-            self.ratio * usage.requests.len() as f64 + self.allowance / entries.max(1) as f64;
+        let allowed = self.ratio * usage.requests.len() as f64 + allowance;
         if usage.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -44,6 +44,11 @@
 /// Largest body of a response that is not an event stream, in bytes. Such a response is buffered until
 /// it is complete, so a larger one is handled like a broken connection.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
+/// Largest body of a response that declines a request, in bytes; the connection of a larger one is
+/// closed.
+const MAX_DECLINED_BODY_BYTES: usize = 16 << 10;
+/// Time for the body of a response that declines a request; the connection of a slower one is closed.
+const DECLINED_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 /// `Retry-After` time of an entry that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Least remaining time with which a retry is sent; with less it is not expected to succeed.
@@ -380,6 +385,7 @@
         } = received;
         let (head, body) = response.into_parts();
         let metadata = self.context.protocol.decode_response(&head);
+        dispatch.record_notices(&metadata);
         if metadata
             .request_id
             .as_ref()
@@ -436,11 +442,8 @@
             });
         }
         let keep_alive = pool::keep_alive(&head.headers);
-        if Limited::new(body, MAX_BUFFERED_BODY_BYTES)
-            .collect()
-            .await
-            .is_ok()
-        {
+        let collecting = Limited::new(body, MAX_DECLINED_BODY_BYTES).collect();
+        if let Ok(Ok(_)) = time::timeout(DECLINED_BODY_TIMEOUT, collecting).await {
             self.context.pool.put(connection, keep_alive);
         }
         let outcome = if metadata.misdirected {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::{
     Outcome, Placement,
     call::{Context, millis},
+    metadata,
     pool::Connection,
 };
 
@@ -63,6 +64,25 @@
         }
     }
 
+    /// Records what the endpoint states about itself in the head of a response.
+    pub(crate) fn record_notices(&self, metadata: &metadata::Response) {
+        // Another endpoint at the same address speaks of itself only.
+        let leaving = metadata.leaving && !metadata.misdirected;
+        if !leaving && metadata.pause.is_none() {
+            return;
+        }
+        let (now, endpoint) = (Instant::now(), &self.placement.endpoint);
+        self.context.with_balancer(|balancer| {
+            if leaving && balancer.record_leaving(&self.placement, now) {
+                log::info!(endpoint:% = endpoint; "endpoint is leaving");
+            }
+            if let Some(pause) = metadata.pause {
+                log::info!(endpoint:% = endpoint, pause_ms = millis(pause); "endpoint asked for a pause");
+                balancer.record_pause(&self.placement, pause, now);
+            }
+        });
+    }
+
     /// Ends the request with an outcome.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.record_end(outcome);
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    Load, Settings,
+    Incarnation, Load, Settings,
     call::Context,
     suspects::{CrashId, Fingerprint},
     sync,
@@ -44,6 +44,8 @@
 const MAX_ADDRESSES: usize = 16;
 /// Maximum number of loads, and of missing endpoints, in one message, so that it fits into one packet.
 const MAX_ENDPOINTS: usize = 48;
+/// Maximum number of leaving endpoints in one message.
+const MAX_DEPARTURES: usize = 16;
 /// Size of the receive buffer, and so of the largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8192;
 
@@ -64,6 +66,8 @@
     crashes: Vec<(Fingerprint, CrashId)>,
     /// Endpoints that the sender found to be missing, although the store still lists them.
     missing: Vec<id::Endpoint>,
+    /// Endpoints that stated that they are leaving, with the incarnation that is.
+    leaving: Vec<(id::Endpoint, Incarnation)>,
     /// Gossip addresses of other entries that the sender knows.
     #[serde(rename = "known")]
     members: Vec<SocketAddr>,
@@ -195,6 +199,9 @@
                 .context
                 .with_balancer(|balancer| balancer.recent_crashes(CRASH_SPAN, now)),
             missing,
+            leaving: self
+                .context
+                .with_balancer(|balancer| balancer.recent_departures(MAX_DEPARTURES, now)),
             members: lock(&self.members)
                 .keys()
                 .copied()
@@ -259,6 +266,11 @@
             for (fingerprint, crash) in message.crashes {
                 balancer.record_crash(fingerprint, crash, now);
             }
+            for (endpoint, incarnation) in message.leaving {
+                if balancer.record_reported_departure(&endpoint, incarnation, now) {
+                    log::info!(endpoint:% = endpoint, peer:% = message.process; "endpoint is leaving");
+                }
+            }
         });
         let members = lock(&self.members);
         let mut seeds = lock(&self.seeds);
@@ -298,7 +310,7 @@
             .entries
             .set(i64::try_from(entries).unwrap_or(i64::MAX));
         self.context
-            .with_balancer(|balancer| balancer.set_entry_count(entries));
+            .with_balancer(|balancer| balancer.set_entry_count(entries, Instant::now()));
     }
 
     /// Fetches changes from other entries that the store does not deliver in time.
--- a/crates/direct/src/health.rs
+++ b/crates/direct/src/health.rs
@@ -9,6 +9,8 @@
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 /// Consecutive connection failures after which an endpoint is ejected.
 const EJECTION_THRESHOLD: u32 = 2;
+/// Time in which an endpoint that declined a request makes room again.
+const DECLINE_MEMORY: Duration = Duration::from_millis(1000);
 /// Weight of the newest outcome in the moving average of the failure rate, 0 to 1.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -28,6 +30,8 @@
     failure_rate: f64,
     /// Time at which another endpoint was found at this one's address.
     found_missing: Option<Instant>,
+    /// Time at which the endpoint last declined a request.
+    declined_at: Option<Instant>,
 }
 
 impl Health {
@@ -62,6 +66,22 @@
         record.failure_rate += NEWEST_WEIGHT * (1.0 - record.failure_rate);
     }
 
+    /// Records that an endpoint declined a request, since it has no room.
+    pub fn record_declined(&mut self, endpoint: &id::Endpoint, now: Instant) {
+        let record = self.endpoints.entry(endpoint.clone()).or_default();
+        record.declined_at = Some(now);
+    }
+
+    /// Returns how recently an endpoint declined a request, from 1 for just now to 0 for a second ago.
+    #[must_use]
+    pub fn recent_decline(&self, endpoint: &str, now: Instant) -> f64 {
+        let record = self.endpoints.get(endpoint);
+        let age = record
+            .and_then(|r| r.declined_at)
+            .map_or(DECLINE_MEMORY, |at| now.duration_since(at));
+        1.0 - age.min(DECLINE_MEMORY).div_duration_f64(DECLINE_MEMORY)
+    }
+
     /// Records that a connection to an endpoint failed or broke; returns whether the endpoint is now
     /// ejected.
     pub fn record_connection_failure(&mut self, endpoint: &id::Endpoint, now: Instant) -> bool {
--- a/crates/direct/src/metadata.rs
+++ b/crates/direct/src/metadata.rs
@@ -53,4 +53,8 @@
     pub encoded: bool,
     /// Id or address of the endpoint whose loss made this one reject the request.
     pub at_fault: Option<SmolStr>,
+    /// Whether the endpoint is leaving, so that it must get no new work.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no request from this process, if it declined this one.
+    pub pause: Option<Duration>,
 }
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -29,6 +29,8 @@
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time by which a connection is discarded before the endpoint closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Largest head of a response in bytes; a connection with a larger one is closed.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 6;
 
@@ -184,6 +186,7 @@
     };
     node::configure_socket(&stream).map_err(|e| format!("socket options cannot be set: {e}"))?;
     let (sender, io) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| format_error(&e))?;
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -117,6 +117,7 @@
             Ok(Ok(received)) => {
                 let (head, body) = received.response.into_parts();
                 let metadata = self.context.protocol.decode_response(&head);
+                dispatch.record_notices(&metadata);
                 let matches_id = metadata
                     .request_id
                     .as_ref()
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -108,7 +108,7 @@
             known.is_some_and(|known| current.is_available(known, now))
         };
         context.pool.sweep(is_available);
-        context.with_balancer(|balancer| balancer.retain_known(&current));
+        context.with_balancer(|balancer| balancer.retain_known(&current, now));
     }
 }
 
--- a/crates/direct/src/window.rs
+++ b/crates/direct/src/window.rs
@@ -4,9 +4,9 @@
 
 use tokio::time::Instant;
 
-/// Number of entries that a process assumes just after its start, when it may not have heard of all
-/// others; the sites that run this system have fewer.
-pub(crate) const STARTUP_ENTRIES: usize = 64;
+/// Least number of entries that a process assumes just after its start, when it may not have heard of
+/// all others.
+pub(crate) const STARTUP_ENTRIES: usize = 256;
 
 /// Removes the times that are older than the window.
 pub(crate) fn remove_expired(times: &mut VecDeque<Instant>, window: Duration, now: Instant) {
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -61,6 +61,9 @@
             request_id: header_text(&head.headers, "id"),
             not_run: head.headers.contains_key("not-run"),
             signed: head.headers.contains_key("signed"),
+            leaving: head.headers.contains_key("leaving"),
+            pause: header_text(&head.headers, "pause")
+                .map(|seconds| Duration::from_secs(seconds.parse().unwrap())),
             ..metadata::Response::default()
         }
     }
@@ -97,6 +100,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Writes a text again and again until the client closes the connection.
+    Repeat(&'static str),
 }
 
 type Script = Arc<dyn Fn(&str) -> Vec<Action> + Send + Sync>;
@@ -166,6 +171,11 @@
                     }
                 }
                 Action::Close => return,
+                Action::Repeat(text) => {
+                    while stream.write_all(text.as_bytes()).await.is_ok() {}
+                    *cancelled.lock().unwrap() += 1;
+                    return;
+                }
             }
         }
     }
@@ -253,7 +263,7 @@
     };
     let mut changes = vec![Change::Put(Item {
         key: "configuration".into(),
-        revision: 1,
+        revision: 1.into(),
         content: Content::Configuration(Arc::new(support::configuration(1))),
     })];
     for (index, endpoint) in endpoints.iter().enumerate() {
@@ -261,13 +271,13 @@
         let id: SmolStr = format!("e{index}").into();
         changes.push(Change::Put(Item {
             key: id.clone(),
-            revision: 2,
+            revision: 2.into(),
             content: Content::Endpoint(id, Arc::new(endpoint)),
         }));
     }
     let page = Page {
         changes,
-        covered: 2,
+        covered: 2.into(),
         keys: None,
     };
     let source = Arc::new(FixedStore(Mutex::new(Some(page))));
@@ -553,3 +563,115 @@
         "the entry still responds"
     );
 }
+
+/// Time within which the entry must give up on a response that never ends.
+const ENDLESS_LIMIT: Duration = Duration::from_millis(1900);
+
+/// Sends an order to an endpoint whose response never ends and to a healthy one; returns the slowest
+/// response, and how often the endless connection was closed.
+async fn call_beside_endless(head: &'static str, endless: &'static str) -> (Vec<String>, u32) {
+    let script = move |_: &str| vec![Action::Write(head.to_owned()), Action::Repeat(endless)];
+    let faulty = TestEndpoint::start(Arc::new(script)).await;
+    let healthy = TestEndpoint::start(Arc::new(|r| vec![ok_response(r, "done")])).await;
+    let entry = start_entry("orders", &[&faulty, &healthy]).await;
+    let mut responses = Vec::new();
+    for _ in 0..4 {
+        let response = time::timeout(ENDLESS_LIMIT, call(entry, ORDER)).await;
+        responses.push(response.expect("an endless response delays the client's"));
+    }
+    time::sleep(Duration::from_millis(100)).await;
+    let cancelled = *faulty.cancelled.lock().unwrap();
+    assert_eq!(
+        cancelled as usize,
+        faulty.request_count(),
+        "each endless connection is closed"
+    );
+    (responses, cancelled)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_head_ended() {
+    let (responses, _) =
+        call_beside_endless("HTTP/1.1 200 OK\r\n", "x-noise: 0123456789\r\n").await;
+    let is_true =
+        |response: &String| response.ends_with("done") || response.starts_with("HTTP/1.1 502");
+    assert!(responses.iter().all(is_true), "{responses:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bytes_ended() {
+    let (responses, _) = call_beside_endless("", "\u{1}noise that is no answer").await;
+    let is_true =
+        |response: &String| response.ends_with("done") || response.starts_with("HTTP/1.1 502");
+    assert!(responses.iter().all(is_true), "{responses:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_body_ended() {
+    let head = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\ntransfer-encoding: chunked\r\n\r\n";
+    let (responses, _) = call_beside_endless(head, "5\r\nnoise\r\n").await;
+    let is_true =
+        |response: &String| response.ends_with("done") || response.starts_with("HTTP/1.1 502");
+    assert!(responses.iter().all(is_true), "{responses:?}");
+}
+
+/// Guards against waiting for the end of a body that belongs to a response without use.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_decline_retried() {
+    let head = "HTTP/1.1 503 Full\r\nnot-run: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+    let (responses, _) = call_beside_endless(head, "5\r\nnoise\r\n").await;
+    assert!(
+        responses.iter().all(|response| response.ends_with("done")),
+        "{responses:?}"
+    );
+}
+
+/// Guards against waiting for a slow body of a response without use until the client's deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_decline_retried() {
+    let script = |_: &str| {
+        let head = "HTTP/1.1 503 Full\r\nnot-run: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+        vec![
+            Action::Write(head.to_owned()),
+            Action::Wait(Duration::from_secs(5)),
+        ]
+    };
+    let slow = TestEndpoint::start(Arc::new(script)).await;
+    let healthy = TestEndpoint::start(Arc::new(|r| vec![ok_response(r, "done")])).await;
+    let entry = start_entry("orders", &[&slow, &healthy]).await;
+    for _ in 0..4 {
+        let response = time::timeout(Duration::from_millis(500), call(entry, ORDER)).await;
+        assert!(response.unwrap().ends_with("done"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_unused() {
+    let leaving = |_: &str| {
+        let text = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nleaving: 1\r\ncontent-length: 4\r\n\r\ndone";
+        vec![Action::Write(text.to_owned())]
+    };
+    let leaving = TestEndpoint::start(Arc::new(leaving)).await;
+    let healthy = TestEndpoint::start(Arc::new(|r| vec![ok_response(r, "done")])).await;
+    let entry = start_entry("orders", &[&leaving, &healthy]).await;
+    for _ in 0..12 {
+        assert!(call(entry, ORDER).await.ends_with("done"));
+    }
+    assert!(leaving.request_count() <= 1, "{}", leaving.request_count());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_endpoint_unused() {
+    let full = |_: &str| {
+        let text = "HTTP/1.1 503 Full\r\nnot-run: 1\r\npause: 4\r\ncontent-length: 0\r\n\r\n";
+        vec![Action::Write(text.to_owned())]
+    };
+    let full = TestEndpoint::start(Arc::new(full)).await;
+    let healthy = TestEndpoint::start(Arc::new(|r| vec![ok_response(r, "done")])).await;
+    let entry = start_entry("orders", &[&full, &healthy]).await;
+    for _ in 0..12 {
+        assert!(call(entry, ORDER).await.ends_with("done"));
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(full.request_count() <= 1, "{}", full.request_count());
+}
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod cold_rate;
 mod crash_suspects;
 mod end_to_end;
+mod endpoint_notices;
 mod event_split;
 mod group_stalls;
 mod health_ejection;
