direct, steer, group: tell entries which engines form a group and whether it serves

A server that restarted under another id was still tried under its earlier ones, up to five times a request. Ruled out: asking engines from entries, since reports from another machine are billed; leaders alone, since the leader's machine may be the one that is cut off. Change: agents send the state of their group by UDP to some entries, the leader also its engines; entries pass on what is new (`group::Directory`). Broken groups, and those without progress at two engines, get nothing; a decline stops its whole group. Of two registrations at one address only the later start counts.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,4 +1,8 @@
-use std::{collections::HashSet, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use conf::id;
 use fault::{ErrorKind, Fault};
@@ -32,6 +36,9 @@
 /// Score penalty of an endpoint that has just declined a request, in generating requests; it fades within
 /// a second.
 const DECLINE_PENALTY: f64 = 8.0;
+/// Number of engines of a group that must run requests without progress for the group to count as
+/// stopped; a single one may only have a long queue.
+const SILENT_ENGINES: usize = 2;
 /// Maximum number of requests that wait at an engine in addition to those in its slots.
 const MAX_WAITING: u32 = 2;
 /// Time after its start in which an entry may not know all other entries yet.
@@ -126,6 +133,7 @@
     budget: Budget,
     suspects: Suspects,
     stalls: Stalls,
+    groups: group::Directory,
     random: SmallRng,
 }
 
@@ -154,6 +162,7 @@
             budget,
             suspects: Suspects::default(),
             stalls: Stalls::default(),
+            groups: group::Directory::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -216,8 +225,12 @@
         };
         let (mut best, mut limit_kind): (Option<(f64, Placement)>, _) = (None, None);
         let mut first_pause_end: Option<Instant> = None;
+        let silent_groups = self.silent_groups(view, now);
         for (id, known) in view.available(attempt.service, now) {
+            let address = known.endpoint.address;
             let skipped = self.health.is_ejected(id, now)
+                || self.groups.is_broken(address, now)
+                || self.is_in(&silent_groups, address)
                 || self.stalls.is_stalled(id, now)
                 || self.loads.is_unresponsive(id, now);
             let incarnation = known.endpoint.started_ms;
@@ -270,6 +283,33 @@
         }
     }
 
+    /// Returns the groups of which several engines run requests of this entry and none makes progress.
+    ///
+    /// Engines of a group run each forward pass together, so that one that is lost stops all others.
+    fn silent_groups(&self, view: &View, now: Instant) -> HashSet<group::Key> {
+        // Number of busy engines of each group, and of those that make progress.
+        let mut counts: HashMap<&group::Key, (usize, usize)> = HashMap::new();
+        for endpoint in self.loads.busy() {
+            let known = view.endpoints.get(endpoint);
+            let key = known.and_then(|known| self.groups.group(known.endpoint.address));
+            if let Some(key) = key {
+                let count = counts.entry(key).or_default();
+                count.0 += 1;
+                count.1 += usize::from(!self.loads.is_unresponsive(endpoint, now));
+            }
+        }
+        let silent = counts
+            .into_iter()
+            .filter(|(_, (busy, progressing))| *busy >= SILENT_ENGINES && *progressing == 0);
+        silent.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Returns whether the group of an engine is one of `groups`.
+    fn is_in(&self, groups: &HashSet<group::Key>, engine: SocketAddr) -> bool {
+        let group = self.groups.group(engine);
+        !groups.is_empty() && group.is_some_and(|group| groups.contains(group))
+    }
+
     /// Returns the part of an endpoint's score that does not depend on its load.
     fn penalty(&self, id: &id::Endpoint, known: &Registration, cold: bool, now: Instant) -> f64 {
         let other_zone = if known.endpoint.zone == self.zone {
@@ -371,6 +411,13 @@
         at_fault: &str,
         now: Instant,
     ) {
+        let declined = view
+            .endpoints
+            .get(endpoint)
+            .map(|known| known.endpoint.address);
+        if declined.is_some_and(|engine| self.groups.record_declined(engine, now)) {
+            return;
+        }
         let matches = |(id, known): &(&id::Endpoint, &Registration)| {
             id.as_str() == at_fault || known.endpoint.address.to_string() == at_fault
         };
@@ -400,6 +447,20 @@
     }
 }
 
+/// # Groups
+impl Balancer {
+    /// Records news of a group; returns whether they changed what is known.
+    pub fn record_group(&mut self, status: &group::Status, now: Instant) -> bool {
+        self.groups.record(status, now)
+    }
+
+    /// Returns the known groups.
+    #[must_use]
+    pub const fn groups(&self) -> &group::Directory {
+        &self.groups
+    }
+}
+
 /// # Other entries
 impl Balancer {
     /// Sets how many entries divide the fleet's limits; the number from the settings is the minimum.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::{BTreeSet, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -151,7 +151,7 @@
                 .with_balancer(|balancer| balancer.local_loads());
             let mut targets = Vec::new();
             if loads != sent_loads || now.duration_since(sent_at) >= KEEP_ALIVE_INTERVAL {
-                targets = self.choose_targets();
+                targets = self.sample(FANOUT);
                 (sent_loads, sent_at) = (loads.clone(), now);
             }
             if seeded_at.is_none_or(|at| now.duration_since(at) >= SEED_INTERVAL) {
@@ -164,9 +164,16 @@
         }
     }
 
-    fn choose_targets(&self) -> Vec<SocketAddr> {
+    /// Chooses the gossip addresses of up to `count` random other entries.
+    pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
         let members = lock(&self.members);
-        members.keys().copied().sample(&mut rand::rng(), FANOUT)
+        members.keys().copied().sample(&mut rand::rng(), count)
+    }
+
+    /// Returns whether messages come in from an entry at an IP address.
+    pub(crate) fn is_member(&self, ip: IpAddr) -> bool {
+        let address = SocketAddr::new(ip, self.local_address.port());
+        lock(&self.members).contains_key(&address)
     }
 
     fn unknown_seeds(&self) -> Vec<SocketAddr> {
--- /dev/null
+++ b/crates/direct/src/groups.rs
@@ -0,0 +1,154 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context as _;
+use group::{Datagram, MAX_BYTES, MAX_ENTRIES, Status};
+use tokio::{
+    net::UdpSocket,
+    time::{self, Instant},
+};
+
+use crate::{Settings, call::Context, gossip::Gossip};
+
+/// Number of entries to which news of a group are passed on.
+const FORWARD_FANOUT: usize = 6;
+/// Interval at which another entry is asked while no group is known, as after a start.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval at which another entry is asked for news that were lost.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(3);
+/// Number of entries that are asked while no group is known.
+const ASK_FANOUT: usize = 3;
+/// Delay after a datagram could not be received.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Receives the news of groups that agents send, and passes them on to other entries.
+pub(crate) struct Groups {
+    socket: UdpSocket,
+    address: SocketAddr,
+    context: Arc<Context>,
+    gossip: Arc<Gossip>,
+}
+
+impl Groups {
+    /// Binds the UDP socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub(crate) async fn bind(
+        settings: &Settings,
+        context: Arc<Context>,
+        gossip: Arc<Gossip>,
+    ) -> anyhow::Result<Arc<Self>> {
+        let address = settings.listen.groups;
+        let socket = UdpSocket::bind(address)
+            .await
+            .context("field `listen.groups`")?;
+        Ok(Arc::new(Self {
+            socket,
+            address,
+            context,
+            gossip,
+        }))
+    }
+
+    /// Sends and receives datagrams; never returns.
+    pub(crate) async fn run(self: Arc<Self>) {
+        tokio::spawn(self.clone().ask());
+        let mut buffer = vec![0; MAX_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => match Datagram::decode(&buffer[..length]) {
+                    Ok(datagram) => self.handle(datagram, from).await,
+                    Err(reason) => log::debug!("datagram from {from} cannot be decoded: {reason}"),
+                },
+                Err(e) => {
+                    log::debug!("datagram cannot be received: {e}");
+                    time::sleep(RECEIVE_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Asks other entries for the groups that they know.
+    async fn ask(self: Arc<Self>) {
+        loop {
+            let is_empty = self
+                .context
+                .with_balancer(|balancer| balancer.groups().is_empty());
+            let (fanout, interval) = match is_empty {
+                true => (ASK_FANOUT, ASK_INTERVAL),
+                false => (1, REFRESH_INTERVAL),
+            };
+            let targets = self.others(fanout);
+            self.send(&Datagram::Ask, &targets).await;
+            time::sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
+        }
+    }
+
+    async fn handle(&self, datagram: Datagram, from: SocketAddr) {
+        match datagram {
+            Datagram::Status(status) => {
+                if self.record(&status, from) {
+                    let targets = self.others(FORWARD_FANOUT);
+                    self.send(&Datagram::Status(status), &targets).await;
+                }
+                if !self.gossip.is_member(from.ip()) {
+                    let others = self.others(MAX_ENTRIES);
+                    self.send(&Datagram::Entries(others), &[from]).await;
+                }
+            }
+            Datagram::Ask => {
+                let statuses = self
+                    .context
+                    .with_balancer(|balancer| balancer.groups().statuses());
+                for status in statuses {
+                    self.send(&Datagram::Status(status), &[from]).await;
+                }
+            }
+            Datagram::Entries(_) => log::debug!("unexpected datagram from {from}"),
+        }
+    }
+
+    /// Records news of a group; returns whether they changed what is known.
+    fn record(&self, status: &Status, from: SocketAddr) -> bool {
+        let now = Instant::now();
+        let changed = self
+            .context
+            .with_balancer(|balancer| balancer.record_group(status, now));
+        if changed {
+            log::info!(
+                group:% = status.group,
+                epoch = status.epoch,
+                open = status.open,
+                engines = status.engines.len(),
+                from:% = from;
+                "group has changed"
+            );
+        }
+        changed
+    }
+
+    /// Chooses random other entries.
+    fn others(&self, count: usize) -> Vec<SocketAddr> {
+        let members = self.gossip.sample(count);
+        members
+            .into_iter()
+            .map(|member| SocketAddr::new(member.ip(), self.address.port()))
+            .collect()
+    }
+
+    async fn send(&self, datagram: &Datagram, targets: &[SocketAddr]) {
+        let bytes = match datagram.encode() {
+            Ok(bytes) => bytes,
+            Err(reason) => {
+                log::warn!(reason = reason; "datagram cannot be encoded");
+                return;
+            }
+        };
+        for target in targets {
+            if let Err(e) = self.socket.send_to(&bytes, target).await {
+                log::debug!("datagram to {target} cannot be sent: {e}");
+            }
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 mod forward;
 mod gossip;
+mod groups;
 mod health;
 mod load;
 pub mod metadata;
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -97,6 +97,12 @@
         busy && at.is_some_and(|at| now.duration_since(*at) > PROGRESS_TIMEOUT)
     }
 
+    /// Lists the endpoints at which requests of this entry are in flight.
+    pub fn busy(&self) -> impl Iterator<Item = &id::Endpoint> {
+        let busy = self.local.iter().filter(|(_, load)| load.requests > 0);
+        busy.map(|(endpoint, _)| endpoint)
+    }
+
     /// Records that a response has started, so that its prompt is no longer pending.
     pub fn record_response_start(&mut self, endpoint: &str, prompt_tokens: u32) {
         if let Some(load) = self.local.get_mut(endpoint) {
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -16,8 +16,8 @@
 };
 
 use crate::{
-    Balancer, Protocol, Settings, call::Context, gossip::Gossip, metrics::Metrics, pool::Pool,
-    server, sync,
+    Balancer, Protocol, Settings, call::Context, gossip::Gossip, groups::Groups, metrics::Metrics,
+    pool::Pool, server, sync,
 };
 
 /// Interval at which expired idle connections are closed.
@@ -66,6 +66,8 @@
     tokio::spawn(probe::serve(ready, readiness(&context)));
     tokio::spawn(probe::serve(operators, probe::metrics(registry)));
     tokio::spawn(sync::serve(peers, follower.clone()));
+    let groups = Groups::bind(&settings, context.clone(), gossip.clone()).await?;
+    tokio::spawn(groups.run());
     tokio::spawn(gossip.run());
     tokio::spawn(follower.run(source));
     tokio::spawn(clean_up(context.clone()));
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -44,6 +44,8 @@
     pub peers: SocketAddr,
     /// UDP address for gossip with other entries.
     pub gossip: SocketAddr,
+    /// UDP address for the state of engine groups; all agents and entries use the same port.
+    pub groups: SocketAddr,
     /// HTTP address that serves metrics to operators.
     pub operators: SocketAddr,
 }
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -254,6 +254,7 @@
             ready: unused_address(),
             peers: unused_address(),
             gossip: unused_address(),
+            groups: unused_address(),
             operators: unused_address(),
         },
         store: unused_address(),
--- a/crates/direct/tests/suite/settings_errors.rs
+++ b/crates/direct/tests/suite/settings_errors.rs
@@ -7,7 +7,7 @@
   "name": "entry-a", "zone": "a",
   "listen": {
     "callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3",
-    "gossip": "127.0.0.1:4", "operators": "127.0.0.1:5"
+    "gossip": "127.0.0.1:4", "groups": "127.0.0.1:7", "operators": "127.0.0.1:5"
   },
   "store": "127.0.0.1:6",
   "bounds": {
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -146,6 +147,7 @@
                 Content::Configuration(_) | Content::Other => {}
             }
         }
+        remove_superseded(&mut view);
         view
     }
 
@@ -408,3 +410,16 @@
         && known.stage == Stage::Draining
         && next.stage == Stage::Ready
 }
+
+/// Removes the endpoints at whose address another one has started since; their registrations have not
+/// expired yet.
+fn remove_superseded(view: &mut View) {
+    let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+    for registration in view.endpoints.values() {
+        let endpoint = &registration.endpoint;
+        let started = latest.entry(endpoint.address).or_default();
+        *started = endpoint.started_ms.max(*started);
+    }
+    view.endpoints
+        .retain(|_, known| known.endpoint.started_ms >= latest[&known.endpoint.address]);
+}
--- a/crates/fleet/tests/suite/replica_order.rs
+++ b/crates/fleet/tests/suite/replica_order.rs
@@ -1,7 +1,7 @@
 use fleet::{Replica, Stage, Update};
 use tokio::time::Instant;
 
-use crate::support::{configuration, endpoint, page, removed};
+use crate::support::{configuration, endpoint, endpoint_at, page, removed};
 
 fn endpoint_ids(replica: &Replica) -> Vec<String> {
     let view = replica.view(Instant::now());
@@ -96,3 +96,21 @@
         (3, 4.into(), 4.into())
     );
 }
+
+/// Guards against requests to an endpoint whose server has restarted under another id. In benchmark run
+/// `trouble-1` of the largest site, all servers restarted, and requests were sent to five earlier ones
+/// each before their registrations expired.
+#[tokio::test(start_paused = true)]
+async fn superseded_endpoint_removed() {
+    let now = Instant::now();
+    let mut replica = Replica::default();
+    let both = vec![
+        endpoint_at("old", 8080, 1, 1),
+        endpoint_at("other", 8081, 1, 2),
+    ];
+    replica.apply(page(both, 2), now);
+    replica.apply(page(vec![endpoint_at("new", 8080, 5, 3)], 3), now);
+    assert_eq!(endpoint_ids(&replica), ["new", "other"]);
+    replica.apply(page(vec![endpoint_at("late", 8081, 0, 4)], 4), now);
+    assert_eq!(endpoint_ids(&replica), ["new", "other"]);
+}
--- a/crates/fleet/tests/suite/support.rs
+++ b/crates/fleet/tests/suite/support.rs
@@ -2,19 +2,35 @@
 
 use fleet::{Change, Configuration, Content, Endpoint, Item, Limits, Page, Revision, Stage};
 
+/// Returns the registration of an endpoint with an address of its own.
 pub(crate) fn endpoint(id: &str, stage: Stage, revision: impl Into<Revision>) -> Change {
+    let port = id.bytes().map(u16::from).sum();
+    register(id, stage, port, 1, revision.into())
+}
+
+/// Returns the registration of a ready endpoint that started at a time on a port.
+pub(crate) fn endpoint_at(
+    id: &str,
+    port: u16,
+    started_ms: u64,
+    revision: impl Into<Revision>,
+) -> Change {
+    register(id, Stage::Ready, port, started_ms, revision.into())
+}
+
+fn register(id: &str, stage: Stage, port: u16, started_ms: u64, revision: Revision) -> Change {
     let endpoint = Endpoint {
         service: "drafts".into(),
-        address: ([127, 0, 0, 1], 8080).into(),
+        address: ([127, 0, 0, 1], port).into(),
         zone: "a".into(),
         slots: 4,
         stage,
         cold_time: Duration::ZERO,
-        started_ms: 1,
+        started_ms,
     };
     Change::Put(Item {
         key: format!("servers/{id}").into(),
-        revision: revision.into(),
+        revision,
         content: Content::Endpoint(id.into(), Arc::new(endpoint)),
     })
 }
--- /dev/null
+++ b/crates/group/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the directory of groups and of its datagrams.
+
+mod datagram_size;
+mod group_news;
--- /dev/null
+++ b/crates/steer/src/announce.rs
@@ -0,0 +1,182 @@
+//! Sends the state of this agent's group to entries.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use conf::id;
+use group::{Datagram, MAX_BYTES, Status};
+use rand::seq::IteratorRandom as _;
+use tokio::{
+    net::UdpSocket,
+    time::{self, Instant},
+};
+
+use crate::{Group, peers::Peers};
+
+/// Interval at which changes of the group are looked for.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the state is sent though it has not changed.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(1500);
+/// Interval at which a broken state is sent again; entries forget it after a few seconds.
+const REPEAT_BROKEN_INTERVAL: Duration = Duration::from_millis(800);
+/// Number of entries to which a change is sent; they pass it on.
+const CHANGE_FANOUT: usize = 4;
+/// Number of entries to which the state is sent though it has not changed.
+const REPEAT_FANOUT: usize = 2;
+/// Time for which an entry is preferred after it answered.
+const HEARD_TTL: Duration = Duration::from_secs(6);
+/// Maximum number of known entries.
+const MAX_KNOWN: usize = 64;
+
+/// Sends the state of the group of the agent's own engine to entries, and learns from their answers
+/// where others are.
+///
+/// Lock order: `group` and `entries` are each taken alone and never held across an await.
+pub(crate) struct Announcer {
+    socket: UdpSocket,
+    service: id::Service,
+    peers: Arc<Peers>,
+    group: Mutex<Option<Group>>,
+    /// Known entries and when each answered last.
+    entries: Mutex<HashMap<SocketAddr, Option<Instant>>>,
+}
+
+impl Announcer {
+    /// Creates an announcer that knows the entries at `seeds`, whose ports are replaced by that of the
+    /// socket.
+    pub(crate) fn new(
+        socket: UdpSocket,
+        service: id::Service,
+        seeds: &[SocketAddr],
+        peers: Arc<Peers>,
+    ) -> std::io::Result<Arc<Self>> {
+        let port = socket.local_addr()?.port();
+        let entries = seeds
+            .iter()
+            .map(|seed| (SocketAddr::new(seed.ip(), port), None));
+        Ok(Arc::new(Self {
+            socket,
+            service,
+            peers,
+            group: Mutex::default(),
+            entries: Mutex::new(entries.collect()),
+        }))
+    }
+
+    /// Records the group that the agent's own engine reports.
+    pub(crate) fn observe(&self, group: &Group) {
+        let mut known = self.group.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.as_ref() != Some(group) {
+            *known = Some(group.clone());
+        }
+    }
+
+    /// Sends the state until the process ends.
+    pub(crate) async fn run(self: Arc<Self>) {
+        tokio::spawn(self.clone().receive());
+        let mut ticks = time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut sent: Option<(Status, Instant)> = None;
+        loop {
+            ticks.tick().await;
+            let Some(status) = self.status() else {
+                continue;
+            };
+            let now = Instant::now();
+            let repeat = if status.open {
+                REPEAT_INTERVAL
+            } else {
+                REPEAT_BROKEN_INTERVAL
+            };
+            let fanout = match &sent {
+                Some((last, at)) if *last == status && now.duration_since(*at) < repeat => continue,
+                Some((last, _)) if *last == status => REPEAT_FANOUT,
+                _ => {
+                    log::info!(group:% = status.group, epoch = status.epoch, open = status.open, engines = status.engines.len(); "group is announced");
+                    CHANGE_FANOUT
+                }
+            };
+            self.send(&status, fanout, now).await;
+            sent = Some((status, now));
+        }
+    }
+
+    fn status(&self) -> Option<Status> {
+        let group = self
+            .group
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()?;
+        Some(Status {
+            engines: self.peers.engines(&group),
+            service: self.service.clone(),
+            group: group.name,
+            epoch: group.epoch,
+            open: group.open,
+        })
+    }
+
+    async fn send(&self, status: &Status, fanout: usize, now: Instant) {
+        let bytes = match Datagram::Status(status.clone()).encode() {
+            Ok(bytes) => bytes,
+            Err(reason) => {
+                log::warn!(group:% = status.group, reason = reason; "group cannot be announced");
+                return;
+            }
+        };
+        for entry in self.targets(fanout, now) {
+            if let Err(e) = self.socket.send_to(&bytes, entry).await {
+                log::debug!("sending the state of the group to {entry} failed: {e}");
+            }
+        }
+    }
+
+    /// Chooses random entries that answered lately, and one of the others.
+    fn targets(&self, fanout: usize, now: Instant) -> Vec<SocketAddr> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_live =
+            |heard: &Option<Instant>| heard.is_some_and(|at| now.duration_since(at) < HEARD_TTL);
+        let random = &mut rand::rng();
+        let live = entries.iter().filter(|(_, heard)| is_live(heard));
+        let mut targets = live.map(|(entry, _)| *entry).sample(random, fanout);
+        let others = entries.iter().filter(|(_, heard)| !is_live(heard));
+        targets.extend(others.map(|(entry, _)| *entry).choose(random));
+        targets
+    }
+
+    async fn receive(self: Arc<Self>) {
+        let mut buffer = vec![0; MAX_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => match Datagram::decode(&buffer[..length]) {
+                    Ok(Datagram::Entries(others)) => self.record_entries(from, others),
+                    Ok(_) => log::debug!("unexpected datagram from {from}"),
+                    Err(reason) => log::debug!("datagram from {from} cannot be decoded: {reason}"),
+                },
+                Err(e) => {
+                    log::debug!("datagram cannot be received: {e}");
+                    time::sleep(TICK_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn record_entries(&self, from: SocketAddr, others: Vec<SocketAddr>) {
+        let now = Instant::now();
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.insert(from, Some(now));
+        for other in others {
+            if entries.len() < MAX_KNOWN {
+                entries.entry(other).or_insert(None);
+            }
+        }
+        if entries.len() >= MAX_KNOWN {
+            entries
+                .retain(|_, heard| heard.is_some_and(|at| now.duration_since(at) < HEARD_TTL * 10));
+        }
+    }
+}
--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -171,6 +171,12 @@
         self.epoch
     }
 
+    /// Returns the addresses of the engines of all ranks, once all have reported.
+    #[must_use]
+    pub fn engines(&self) -> Option<Vec<SocketAddr>> {
+        self.engines.iter().copied().collect()
+    }
+
     /// Sets the maximum number of experts per set on a rank, the maximum number of experts per set
     /// that a rank adds in one change, and the time to copy one expert.
     pub fn set_limits(
@@ -236,7 +242,7 @@
         Some(Decision {
             epoch: self.epoch,
             version,
-            engines: self.engines.iter().copied().collect::<Option<_>>()?,
+            engines: self.engines()?,
         })
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,6 +5,7 @@
 //! such that two ranks never run a pass with different maps. If an agent stops responding during a
 //! change, another one completes it ([`Takeover`]). [`Engine`] is the interface to engines.
 
+mod announce;
 mod beacon;
 mod engine;
 mod failover;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -104,6 +104,17 @@
             .map(|(group, leader)| (group.clone(), leader.epoch()))
     }
 
+    /// Returns the addresses of the engines of all ranks, if this agent leads the group and knows them.
+    pub(crate) fn engines(&self, group: &Group) -> Vec<SocketAddr> {
+        let led = self.led.lock().unwrap_or_else(PoisonError::into_inner);
+        let leader = led
+            .as_ref()
+            .filter(|(name, leader)| *name == group.name && leader.epoch() == group.epoch);
+        leader
+            .and_then(|(_, leader)| leader.engines())
+            .unwrap_or_default()
+    }
+
     /// Reports to the leader; `None` if no leader is known or it does not lead this group.
     pub(crate) async fn report(
         &self,
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -12,7 +12,8 @@
 };
 
 use crate::{
-    Connector, Settings, beacon, failover, metrics::Metrics, peers, peers::Peers, worker::Worker,
+    Connector, Settings, announce::Announcer, beacon, failover, metrics::Metrics, peers,
+    peers::Peers, worker::Worker,
 };
 
 /// Interval at which the agent checks whether it leads a group.
@@ -43,6 +44,15 @@
     let listener = TcpListener::bind(peers_address)
         .await
         .context("field `listen.peers`")?;
+    let groups = UdpSocket::bind(settings.listen.groups)
+        .await
+        .context("field `listen.groups`")?;
+    let announcer = Announcer::new(
+        groups,
+        settings.service.clone(),
+        &settings.seeds,
+        peers.clone(),
+    )?;
     let operators = TcpListener::bind(settings.listen.operators)
         .await
         .context("field `listen.operators`")?;
@@ -57,7 +67,15 @@
         peers.clone(),
         view,
     ));
-    tokio::spawn(Worker::new(settings.engine, &*connector, peers.clone(), metrics).run());
+    tokio::spawn(announcer.clone().run());
+    let worker = Worker::new(
+        settings.engine,
+        &*connector,
+        peers.clone(),
+        announcer,
+        metrics,
+    );
+    tokio::spawn(worker.run());
     tokio::spawn(failover::run(peers.clone(), connector));
     tokio::spawn(follow_when_leading(service, peers, follower, source));
     loop {
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -19,6 +19,10 @@
     pub store: SocketAddr,
     /// Address of the agent's own engine.
     pub engine: SocketAddr,
+    /// Addresses of entries that are told of the group first; all entries use the port of
+    /// `listen.groups`, so the port given here is ignored.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Service that the engine runs.
     pub service: id::Service,
     /// Thresholds and limits for changing the map.
@@ -39,6 +43,8 @@
 pub struct Listen {
     /// TCP and UDP for the other agents, which must use the same port.
     pub peers: SocketAddr,
+    /// UDP for the state of the group that entries are told; all agents and entries use the same port.
+    pub groups: SocketAddr,
     /// HTTP for operators: metrics.
     pub operators: SocketAddr,
 }
--- a/crates/steer/src/worker.rs
+++ b/crates/steer/src/worker.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Connector, Counts, Engine, Instructions, Lists, Order, Reply, Report, Sample,
+    announce::Announcer,
     engine::{Epoch, Pass, Version},
     metrics::Metrics,
     peers::Peers,
@@ -83,6 +84,7 @@
     address: SocketAddr,
     engine: Arc<dyn Engine>,
     peers: Arc<Peers>,
+    announcer: Arc<Announcer>,
     metrics: Metrics,
     /// Last counts read from the engine; they are cumulative.
     last_counts: Option<Counts>,
@@ -102,12 +104,14 @@
         address: SocketAddr,
         connector: &dyn Connector,
         peers: Arc<Peers>,
+        announcer: Arc<Announcer>,
         metrics: Metrics,
     ) -> Self {
         Self {
             address,
             engine: connector.engine(address),
             peers,
+            announcer,
             metrics,
             last_counts: None,
             counts_read_at: None,
@@ -148,6 +152,7 @@
         let Some(group) = report.group.clone() else {
             return Ok(NO_GROUP_DELAY);
         };
+        self.announcer.observe(&group);
         let count_total = self
             .last_counts
             .as_ref()
