direct, fleet: let three entries of each zone watch the store

Ruled out: longer waits alone, since a lost answer must be noticed within 5 s; one watcher for all zones, since a zone may be cut off. Change: `peer::Election` decides who watches; the others fetch what gossip shows to be newer, from their zone if they can. A page says how long removals may still be lapses. An entry without data lists the store in any case.

--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -14,18 +14,22 @@
     net::UdpSocket,
     time::{self, Instant},
 };
+use wire::Watcher;
 
 use crate::{
     Incarnation, Load, Settings,
     call::Context,
     suspects::{CrashId, Fingerprint},
     sync,
+    watching::Watching,
 };
 
 /// Interval at which changes of the local load are checked for and sent.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a message is sent even if the local load has not changed.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(700);
+/// Number of ticks in which a new revision is sent even if the local load has not changed.
+const CHANGE_TICKS: u32 = 4;
 /// Maximum number of entries to which a message is sent per tick; they are chosen at random, so with
 /// more entries each gets messages less often.
 const FANOUT: usize = 12;
@@ -40,6 +44,8 @@
 /// Time that the store has to deliver changes that another entry already knows; after that they are
 /// fetched from that entry.
 const MAX_STORE_LAG: Duration = Duration::from_millis(150);
+/// Time between two fetches, so that one returns all changes that follow closely.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum number of entry addresses in one message, and up to which seeds are learned from messages.
 const MAX_ADDRESSES: usize = 16;
 /// Maximum number of loads, and of missing endpoints, in one message, so that it fits into one packet.
@@ -62,6 +68,10 @@
     newest_revision: Revision,
     /// Load that the sender puts on each endpoint.
     loads: Vec<(id::Endpoint, Load)>,
+    /// Availability zone of the sender.
+    zone: id::Zone,
+    /// Entries that watch the store for the sender's zone.
+    watchers: Vec<Watcher>,
     /// Recent crashes with the fingerprint of the request that may have caused each.
     crashes: Vec<(Fingerprint, CrashId)>,
     /// Endpoints that the sender found to be missing, although the store still lists them.
@@ -78,6 +88,7 @@
     process: id::Process,
     sync_address: SocketAddr,
     newest_revision: Revision,
+    zone: id::Zone,
     last_message: Instant,
 }
 
@@ -88,10 +99,12 @@
 pub(crate) struct Gossip {
     socket: UdpSocket,
     process: id::Process,
+    zone: id::Zone,
     local_address: SocketAddr,
     sync_address: SocketAddr,
     follower: Arc<Follower>,
     context: Arc<Context>,
+    watching: Arc<Watching>,
     members: Mutex<HashMap<SocketAddr, Member>>,
     seeds: Mutex<BTreeSet<SocketAddr>>,
 }
@@ -106,6 +119,7 @@
         settings: &Settings,
         follower: Arc<Follower>,
         context: Arc<Context>,
+        watching: Arc<Watching>,
     ) -> anyhow::Result<Arc<Self>> {
         let local_address = settings.listen.gossip;
         let socket = UdpSocket::bind(local_address)
@@ -114,10 +128,12 @@
         let gossip = Self {
             socket,
             process: settings.name.clone(),
+            zone: settings.zone.clone(),
             local_address,
             sync_address: settings.listen.peers,
             follower,
             context,
+            watching,
             members: Mutex::default(),
             seeds: Mutex::default(),
         };
@@ -140,6 +156,7 @@
         tokio::spawn(self.clone().receive());
         tokio::spawn(self.clone().catch_up());
         let (mut sent_loads, mut sent_at, mut seeded_at) = (Vec::new(), Instant::now(), None);
+        let (mut sent_revision, mut urgent_ticks) = (Revision::default(), 0);
         let mut ticks = time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
@@ -149,8 +166,17 @@
             let loads = self
                 .context
                 .with_balancer(|balancer| balancer.local_loads());
+            let (_, newest_revision, _) = self.follower.position();
+            if newest_revision != sent_revision {
+                (sent_revision, urgent_ticks) = (newest_revision, CHANGE_TICKS);
+            }
+            let is_urgent = urgent_ticks > 0;
+            urgent_ticks = urgent_ticks.saturating_sub(1);
             let mut targets = Vec::new();
-            if loads != sent_loads || now.duration_since(sent_at) >= KEEP_ALIVE_INTERVAL {
+            if is_urgent
+                || loads != sent_loads
+                || now.duration_since(sent_at) >= KEEP_ALIVE_INTERVAL
+            {
                 targets = self.sample(FANOUT);
                 (sent_loads, sent_at) = (loads.clone(), now);
             }
@@ -201,6 +227,8 @@
             process: self.process.clone(),
             sync_address: self.sync_address,
             newest_revision,
+            zone: self.zone.clone(),
+            watchers: self.watching.watchers(),
             loads,
             crashes: self
                 .context
@@ -254,6 +282,7 @@
             process: message.process.clone(),
             sync_address: message.sync_address,
             newest_revision: message.newest_revision,
+            zone: message.zone.clone(),
             last_message: now,
         };
         let (known, count) = {
@@ -265,6 +294,7 @@
             log::info!(peer:% = message.process, address:% = from; "entry found");
             self.update_entry_count(count);
         }
+        self.watching.observe(&message.watchers);
         self.context.with_balancer(|balancer| {
             balancer.record_report(&message.process, message.loads, now);
             for endpoint in &message.missing {
@@ -316,6 +346,7 @@
             .metrics
             .entries
             .set(i64::try_from(entries).unwrap_or(i64::MAX));
+        self.watching.set_entry_count(entries);
         self.context
             .with_balancer(|balancer| balancer.set_entry_count(entries, Instant::now()));
     }
@@ -333,11 +364,15 @@
                 continue;
             };
             let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() < MAX_STORE_LAG {
+            if self.watching.is_watching() && since.elapsed() < MAX_STORE_LAG {
                 continue;
             }
             match sync::fetch(address, covered).await {
-                Ok(page) => self.follower.apply(page, &process),
+                Ok(page) => {
+                    self.follower.apply(page, &process);
+                    self.watching.record_page();
+                    time::sleep(FETCH_PAUSE).await;
+                }
                 Err(e) => {
                     log::info!(peer:% = process, reason:% = format!("{e:#}"); "changes cannot be fetched from another entry")
                 }
@@ -345,13 +380,18 @@
         }
     }
 
-    /// Chooses a random entry that knows a newer revision than `covered`.
+    /// Chooses a random entry that knows a newer revision than `covered`, in the own zone if one does:
+    /// traffic between zones is billed.
     fn choose_ahead(&self, covered: Revision) -> Option<(id::Process, SocketAddr)> {
         let members = lock(&self.members);
-        let ahead = members
-            .values()
-            .filter(|member| member.newest_revision > covered);
-        let chosen = ahead.choose(&mut rand::rng())?;
+        let ahead = || {
+            members
+                .values()
+                .filter(|member| member.newest_revision > covered)
+        };
+        let random = &mut rand::rng();
+        let near = ahead().filter(|member| member.zone == self.zone);
+        let chosen = near.choose(random).or_else(|| ahead().choose(random))?;
         Some((chosen.process.clone(), chosen.sync_address))
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -32,6 +32,7 @@
 mod stream;
 mod suspects;
 mod sync;
+mod watching;
 mod window;
 
 pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     Balancer, Protocol, Settings, call::Context, gossip::Gossip, groups::Groups, metrics::Metrics,
-    pool::Pool, server, sync,
+    pool::Pool, server, sync, watching::Watching,
 };
 
 /// Interval at which expired idle connections are closed.
@@ -61,7 +61,14 @@
     let operators = bind(listen.operators, "operators").await?;
     let peers = bind(listen.peers, "peers").await?;
     let clients = bind(listen.callers, "callers").await?;
-    let gossip = Gossip::bind(&settings, follower.clone(), context.clone()).await?;
+    let watching = Arc::new(Watching::new(&settings));
+    let gossip = Gossip::bind(
+        &settings,
+        follower.clone(),
+        context.clone(),
+        watching.clone(),
+    )
+    .await?;
     tokio::spawn(reload(path, settings.clone(), gossip.clone())?);
     tokio::spawn(probe::serve(ready, readiness(&context)));
     tokio::spawn(probe::serve(operators, probe::metrics(registry)));
@@ -69,7 +76,7 @@
     let groups = Groups::bind(&settings, context.clone(), gossip.clone()).await?;
     tokio::spawn(groups.run());
     tokio::spawn(gossip.run());
-    tokio::spawn(follower.run(source));
+    tokio::spawn(follower.run(source, watching));
     tokio::spawn(clean_up(context.clone()));
     server::serve(clients, context, settings.bounds.grace).await;
     log::info!(process:% = settings.name; "stop");
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -280,6 +280,7 @@
         changes,
         covered: 2.into(),
         keys: None,
+        lapsing: Duration::ZERO,
     };
     let source = Arc::new(FixedStore(Mutex::new(Some(page))));
     tokio::spawn(direct::run(
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -10,7 +10,7 @@
     time::{self, Instant},
 };
 
-use crate::{Page, Replica, Revision, Source, SourceError, Update, View};
+use crate::{Duty, Page, Replica, Revision, Source, SourceError, Update, View};
 
 /// Delay after the first failed call to the store; it doubles up to [`MAX_RETRY_DELAY`].
 ///
@@ -22,6 +22,8 @@
 ///
 /// It is a fraction of two seconds, the platform's smallest limit for putting a change into force.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
+/// Interval at which a process that is not on duty checks whether it is now.
+const DUTY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two checks for lapsed endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -87,7 +89,10 @@
     /// Returns the changes for a process that has applied all changes up to `after`.
     #[must_use]
     pub fn changes_since(&self, after: Revision) -> Page {
-        self.with_replica(|replica| replica.changes_since(after))
+        self.with_replica(|replica| Page {
+            lapsing: replica.lapsing(Instant::now()),
+            ..replica.changes_since(after)
+        })
     }
 
     /// Returns the revision up to which all changes have been applied, the revision of the newest
@@ -122,18 +127,25 @@
         operation(&mut replica)
     }
 
-    /// Lists and watches the store; never returns.
-    pub async fn run(self: Arc<Self>, source: Arc<dyn Source>) {
+    /// Lists and watches the store while on duty; never returns.
+    pub async fn run(self: Arc<Self>, source: Arc<dyn Source>, duty: Arc<dyn Duty>) {
         tokio::spawn(self.clone().expire());
-        let (mut listed, mut unavailable, mut retry_delay) = (false, false, MIN_RETRY_DELAY);
+        let (mut is_obsolete, mut unavailable) = (false, false);
+        let mut retry_delay = MIN_RETRY_DELAY;
         loop {
+            if !duty.is_on() {
+                time::sleep(DUTY_INTERVAL).await;
+                continue;
+            }
             let (covered, ..) = self.position();
-            let result = if listed {
-                source.watch(covered).await
-            } else {
+            // The replica may come from another process, and is then watched from there on.
+            let listing = is_obsolete || covered == Revision::default();
+            let result = if listing {
                 source.list().await
+            } else {
+                source.watch(covered).await
             };
-            let result = check_era(result, !listed, covered);
+            let result = check_era(result, listing, covered);
             let outcome = match &result {
                 Ok(_) => "ok",
                 Err(SourceError::Compacted) => "compacted",
@@ -146,7 +158,8 @@
                     if std::mem::take(&mut unavailable) {
                         log::info!(covered:% = covered; "store is available again");
                     }
-                    (listed, retry_delay) = (true, MIN_RETRY_DELAY);
+                    (is_obsolete, retry_delay) = (false, MIN_RETRY_DELAY);
+                    duty.record_answer();
                     let changed = !page.changes.is_empty();
                     self.apply(page, "store");
                     if changed {
@@ -155,16 +168,19 @@
                 }
                 Err(SourceError::Compacted) => {
                     log::info!(covered:% = covered; "store compacted its history; listing all items");
-                    listed = false;
+                    is_obsolete = true;
+                    duty.record_answer();
                 }
                 Err(SourceError::Restored(era)) => {
                     log::warn!(covered:% = covered, era = era; "store was restored from an older copy; listing all items");
-                    listed = false;
+                    is_obsolete = true;
+                    duty.record_answer();
                 }
                 Err(SourceError::Unavailable(reason)) => {
                     if !std::mem::replace(&mut unavailable, true) {
                         log::warn!(covered:% = covered, reason = reason; "store is unavailable");
                     }
+                    duty.record_failure();
                     self.with_replica(|replica| replica.note_failure(Instant::now()));
                     let jitter = rand::random_range(0.7..1.3);
                     time::sleep(retry_delay.mul_f64(jitter)).await;
--- a/crates/fleet/src/item.rs
+++ b/crates/fleet/src/item.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use conf::id;
 use serde::{Deserialize, Serialize};
@@ -57,4 +57,8 @@
     /// Keys of all items that exist, if the page describes the whole store; an item that is listed
     /// here but not in `changes` is unchanged since the receiver's revision.
     pub keys: Option<Vec<SmolStr>>,
+    /// Time for which removals may still be lapses of registrations, as the sender knows from its calls
+    /// to the store.
+    #[serde(default)]
+    pub lapsing: Duration,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! order; its [`View`] holds the configuration, endpoints and zones in force. A [`Follower`] updates
 //! the replica from a [`Source`], the interface to the store.
 
+mod duty;
 mod endpoint;
 mod follower;
 mod item;
@@ -13,6 +14,7 @@
 mod source;
 mod view;
 
+pub use duty::{Always, Duty};
 pub use endpoint::{Endpoint, Stage};
 pub use follower::Follower;
 pub use item::{Change, Content, Item, Page};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -120,6 +120,7 @@
             changes: newer.cloned().map(Change::Put).collect(),
             covered: self.covered,
             keys: Some(self.items.keys().cloned().collect()),
+            lapsing: Duration::ZERO,
         }
     }
 
@@ -183,9 +184,20 @@
         self.lapses_until = Some(now + REREGISTRATION_WINDOW);
     }
 
+    /// Returns the time for which removals may still be lapses.
+    #[must_use]
+    pub fn lapsing(&self, now: Instant) -> Duration {
+        self.lapses_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Applies a page and returns its effects.
     pub fn apply(&mut self, page: Page, now: Instant) -> Vec<Update> {
         let mut updates = Vec::new();
+        if !page.lapsing.is_zero() {
+            let until = now + page.lapsing.min(REREGISTRATION_WINDOW);
+            self.lapses_until = self.lapses_until.max(Some(until));
+        }
         if page.covered.era < self.covered.era {
             updates.push(Update::OldEra(page.covered.era));
             return updates;
--- a/crates/fleet/tests/suite/store_eras.rs
+++ b/crates/fleet/tests/suite/store_eras.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
-use fleet::{Change, Content, Follower, Item, LAPSE_GRACE, Page, Replica, Revision, Stage, Update};
+use fleet::{
+    Always, Change, Content, Follower, Item, LAPSE_GRACE, Page, Replica, Revision, Stage, Update,
+};
 use prometheus::Registry;
 use tokio::time::{self, Instant};
 
@@ -306,7 +308,11 @@
         Ok(page(Vec::new(), first(300))),
     ]);
     let follower = std::sync::Arc::new(Follower::new(&Registry::new()).unwrap());
-    tokio::spawn(follower.clone().run(store.clone()));
+    tokio::spawn(
+        follower
+            .clone()
+            .run(store.clone(), std::sync::Arc::new(Always)),
+    );
     time::sleep(Duration::from_secs(30)).await;
     assert_eq!(
         store.calls()[..4],
--- a/crates/fleet/tests/suite/store_follower.rs
+++ b/crates/fleet/tests/suite/store_follower.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use fleet::{Follower, Page, Revision, Source, SourceError, Stage};
+use fleet::{Always, Follower, Page, Revision, Source, SourceError, Stage};
 use futures::future::BoxFuture;
 use prometheus::Registry;
 use tokio::time;
@@ -54,7 +54,7 @@
 
 async fn start_follower(store: &Arc<FakeStore>) -> Arc<Follower> {
     let follower = Arc::new(Follower::new(&Registry::new()).unwrap());
-    tokio::spawn(follower.clone().run(store.clone()));
+    tokio::spawn(follower.clone().run(store.clone(), Arc::new(Always)));
     time::sleep(Duration::from_secs(30)).await;
     follower
 }
--- a/crates/fleet/tests/suite/support.rs
+++ b/crates/fleet/tests/suite/support.rs
@@ -68,5 +68,6 @@
         changes,
         covered: covered.into(),
         keys: None,
+        lapsing: Duration::ZERO,
     }
 }
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use conf::id;
-use fleet::{Follower, Source};
+use fleet::{Always, Follower, Source};
 use node::probe;
 use prometheus::Registry;
 use tokio::{
@@ -100,7 +100,7 @@
         time::sleep(POLL_INTERVAL).await;
     }
     let mut view = follower.subscribe();
-    tokio::spawn(follower.run(source));
+    tokio::spawn(follower.run(source, Arc::new(Always)));
     let mut ticks = time::interval(POLL_INTERVAL);
     loop {
         // Also on ticks without a change, since this agent may have become the leader of another group.
