direct: ration requests while more are in demand than slots

Change: `Admission` lets each entry admit its share of the rate at which slots become free, while other entries are known to have as many requests in flight as there are slots; the rest is refused at once. Tests: suite `demand_rationing`.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Bounds, Budget, Departures, Health, Load, Loads, Pauses, Stalls, Suspects, cold,
+    Admission, Bounds, Budget, Demand, Departures, Health, Load, Loads, Pauses, Stalls, Suspects,
+    cold,
     departures::Incarnation,
     suspects::{CrashId, Fingerprint},
     window::STARTUP_ENTRIES,
@@ -92,6 +93,10 @@
     pub cold: bool,
     /// Incarnation of the endpoint that is registered under the id.
     pub incarnation: Incarnation,
+    /// Service of the endpoint.
+    pub service: id::Service,
+    /// Time at which the endpoint was chosen.
+    pub chosen_at: Instant,
 }
 
 /// Chosen endpoint, or the error response if there is none.
@@ -129,6 +134,7 @@
     health: Health,
     departures: Departures,
     pauses: Pauses,
+    admission: Admission,
     cold: cold::Limiter,
     budget: Budget,
     suspects: Suspects,
@@ -158,6 +164,7 @@
             health: Health::default(),
             departures: Departures::default(),
             pauses: Pauses::default(),
+            admission: Admission::default(),
             cold: cold::Limiter::new(seed),
             budget,
             suspects: Suspects::default(),
@@ -226,8 +233,11 @@
         let (mut best, mut limit_kind): (Option<(f64, Placement)>, _) = (None, None);
         let mut first_pause_end: Option<Instant> = None;
         let silent_groups = self.silent_groups(view, now);
+        let mut demand = Demand::default();
         for (id, known) in view.available(attempt.service, now) {
             let address = known.endpoint.address;
+            let load = self.loads.total(id, now);
+            demand.requests += load.requests - self.loads.own_requests(id);
             let skipped = self.health.is_ejected(id, now)
                 || self.groups.is_broken(address, now)
                 || self.is_in(&silent_groups, address)
@@ -235,7 +245,11 @@
                 || self.loads.is_unresponsive(id, now);
             let incarnation = known.endpoint.started_ms;
             let is_leaving = self.departures.is_leaving(id, incarnation);
-            if attempt.excluded.contains(id) || skipped || is_leaving {
+            if skipped || is_leaving {
+                continue;
+            }
+            demand.slots += known.endpoint.slots;
+            if attempt.excluded.contains(id) {
                 continue;
             }
             if let Some(until) = self.pauses.until(id, now) {
@@ -243,7 +257,6 @@
                 first_pause_end = Some(first);
                 continue;
             }
-            let load = self.loads.total(id, now);
             let slots = known.endpoint.slots.max(1);
             let cold = known.cold_until > now && cold_rate > 0.0;
             let rate_limit = cold_rate * self.bounds.cold_overshoot + self.bounds.cold_slack;
@@ -270,10 +283,20 @@
                     requests: load.requests,
                     cold,
                     incarnation,
+                    service: attempt.service.clone(),
+                    chosen_at: now,
                 };
                 best = Some((score, placement));
             }
         }
+        let entries = self.entry_count(now);
+        if has_engine
+            && best.is_some()
+            && !self.admission.admit(attempt.service, demand, entries, now)
+        {
+            let detail = "more requests are in demand than slots";
+            return Err(self.fail_overloaded(ErrorKind::Overloaded).detail(detail));
+        }
         match (best, limit_kind, first_pause_end) {
             (None, Some(kind), _) => Err(self.fail_overloaded(kind)),
             (None, None, Some(end)) => Err(Fault::new(ErrorKind::Overloaded)
@@ -368,6 +391,9 @@
         self.loads.record_end(id);
         match outcome {
             Outcome::Whole => {
+                let duration = now.duration_since(placement.chosen_at);
+                self.admission
+                    .record_duration(&placement.service, duration, now);
                 self.health.record_success(id);
                 self.stalls.record_success(id, now);
             }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 //! reports between clients, endpoints, the platform and other entries. [`Protocol`] is the interface
 //! to the platform's HTTP headers, and [`fleet::Source`] that to the platform's store.
 
+mod admission;
 mod balancer;
 mod body;
 mod budget;
@@ -35,6 +36,7 @@
 mod watching;
 mod window;
 
+pub use admission::{Admission, Demand};
 pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
 pub use budget::Budget;
 pub use departures::{Departures, Incarnation};
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -55,6 +55,12 @@
             .fold(local, |sum, load| sum.plus(*load))
     }
 
+    /// Returns the number of this entry's own requests at an endpoint.
+    #[must_use]
+    pub fn own_requests(&self, endpoint: &str) -> u32 {
+        self.local.get(endpoint).map_or(0, |load| load.requests)
+    }
+
     /// Lists this entry's own load on each endpoint that has any.
     #[must_use]
     pub fn local(&self) -> Vec<(id::Endpoint, Load)> {
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod balancer_choice;
 mod cold_rate;
 mod crash_suspects;
+mod demand_rationing;
 mod end_to_end;
 mod endpoint_notices;
 mod event_split;
