--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -46,8 +46,10 @@
 const MAX_STORE_LAG: Duration = Duration::from_millis(150);
 /// Time between two fetches, so that one returns all changes that follow closely.
 const FETCH_PAUSE: Duration = Duration::from_millis(200);
-/// Maximum number of entry addresses in one message, and up to which seeds are learned from messages.
-const MAX_ADDRESSES: usize = 16;
+/// Number of entry addresses in one message; they are chosen at random.
+const MAX_ADDRESSES: usize = 4;
+/// Number up to which seeds are learned from messages.
+const MAX_SEEDS: usize = 16;
 /// Maximum number of loads, and of missing endpoints, in one message, so that it fits into one packet.
 const MAX_ENDPOINTS: usize = 48;
 /// Maximum number of leaving endpoints in one message.
@@ -223,12 +225,12 @@
             .context
             .with_balancer(|balancer| balancer.recently_missing(MISSING_SPAN, now));
         missing.truncate(MAX_ENDPOINTS);
-        let message = Message {
+        let mut message = Message {
             process: self.process.clone(),
             sync_address: self.sync_address,
             newest_revision,
             zone: self.zone.clone(),
-            watchers: self.watching.watchers(),
+            watchers: Vec::new(),
             loads,
             crashes: self
                 .context
@@ -237,13 +239,31 @@
             leaving: self
                 .context
                 .with_balancer(|balancer| balancer.recent_departures(MAX_DEPARTURES, now)),
-            members: lock(&self.members)
-                .keys()
-                .copied()
-                .take(MAX_ADDRESSES)
-                .collect(),
+            members: self.sample(MAX_ADDRESSES),
         };
-        let bytes = match rmp_serde::to_vec(&message) {
+        let (near, far) = self.split_by_zone(targets);
+        self.send_to(&message, &far).await;
+        // Other zones have watchers of their own.
+        message.watchers = self.watching.watchers();
+        self.send_to(&message, &near).await;
+    }
+
+    /// Splits the addresses of other entries into those in the own zone or an unknown one, and the others.
+    fn split_by_zone(&self, targets: &[SocketAddr]) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let members = lock(&self.members);
+        let is_near = |address: &&SocketAddr| {
+            members
+                .get(address)
+                .is_none_or(|member| member.zone == self.zone)
+        };
+        targets.iter().partition(is_near)
+    }
+
+    async fn send_to(&self, message: &Message, targets: &[SocketAddr]) {
+        if targets.is_empty() {
+            return;
+        }
+        let bytes = match rmp_serde::to_vec(message) {
             Ok(bytes) => bytes,
             Err(e) => {
                 log::warn!(reason:% = e; "gossip message cannot be encoded");
@@ -315,7 +335,7 @@
             .members
             .into_iter()
             .filter(|a| *a != self.local_address && !members.contains_key(a));
-        let capacity = MAX_ADDRESSES.saturating_sub(seeds.len());
+        let capacity = MAX_SEEDS.saturating_sub(seeds.len());
         seeds.extend(unknown.take(capacity).collect::<Vec<_>>());
     }
 
