--- a/crates/direct/src/admission.rs
+++ b/crates/direct/src/admission.rs
@@ -9,22 +9,13 @@
 const DEFAULT_DURATION: Duration = Duration::from_secs(2);
 /// Part of the slots that must be in demand for requests to be rationed.
 const MIN_DEMAND: f64 = 1.0;
-/// Part of the rate at which the slots become free that entries admit together.
+/// Part of the rate at which the slots become free that entries admit together; the rest works off
+/// what waits at the engines.
 const ADMITTED_SHARE: f64 = 0.9;
-/// The same part while requests wait longer than [`MAX_WAIT`]; the rest works off what waits.
-const DRAINING_SHARE: f64 = 0.5;
-/// Time to the first event above which a queue has built up at the engines, whatever is known of the
-/// other entries' requests. Clients leave after about two seconds.
-const MAX_WAIT: Duration = Duration::from_millis(900);
-/// Weight of the newest time to the first event in its moving average, 0 to 1.
-const NEWEST_WAIT_WEIGHT: f64 = 0.25;
-/// Time after which the moving average of waits no longer counts.
-const WAIT_TTL: Duration = Duration::from_secs(2);
 /// Time in which unused admissions add up.
 const BURST_TIME: Duration = Duration::from_millis(800);
 
-/// Rations the requests to a service while more are in demand than its engines have slots, or while
-/// requests wait long for their first event.
+/// Rations the requests to a service while more are in demand than its engines have slots.
 ///
 /// What other entries send becomes known after most of a second, in which all of them together could
 /// fill an engine's queue for seconds; after the loss of a group this would happen to those that are
@@ -38,8 +29,6 @@
 struct State {
     /// Moving average of the time that a request takes.
     duration: Duration,
-    /// Moving average of the time to the first event, and the time of the last one.
-    wait: Option<(Duration, Instant)>,
     /// Unused admissions.
     tokens: f64,
     refilled_at: Instant,
@@ -63,14 +52,6 @@
             state.duration.mul_f64(1.0 - NEWEST_WEIGHT) + duration.mul_f64(NEWEST_WEIGHT);
     }
 
-    /// Records how long a request waited for its first event, or that it waited in vain for so long.
-    pub fn record_wait(&mut self, service: &id::Service, wait: Duration, now: Instant) {
-        let state = self.state(service, now);
-        let last = state.wait.map_or(wait, |(last, _)| last);
-        let mean = last.mul_f64(1.0 - NEWEST_WAIT_WEIGHT) + wait.mul_f64(NEWEST_WAIT_WEIGHT);
-        state.wait = Some((mean, now));
-    }
-
     /// Returns whether this entry, one of `entries`, may send a request, and counts it if so.
     pub fn admit(
         &mut self,
@@ -81,21 +62,13 @@
     ) -> bool {
         let state = self.state(service, now);
         let seconds = state.duration.as_secs_f64().max(0.05);
-        let is_queued = state
-            .wait
-            .is_some_and(|(wait, at)| wait > MAX_WAIT && now.duration_since(at) < WAIT_TTL);
-        let share = if is_queued {
-            DRAINING_SHARE
-        } else {
-            ADMITTED_SHARE
-        };
-        let rate = share * f64::from(demand.slots) / seconds / entries.max(1) as f64;
+        let rate = ADMITTED_SHARE * f64::from(demand.slots) / seconds / entries.max(1) as f64;
         let burst = (rate * BURST_TIME.as_secs_f64()).max(1.0);
         let elapsed = now.duration_since(state.refilled_at).as_secs_f64();
         state.tokens = (state.tokens + rate * elapsed).min(burst);
         state.refilled_at = now;
-        let is_scarce = f64::from(demand.requests) >= MIN_DEMAND * f64::from(demand.slots);
-        if (is_scarce || is_queued) && state.tokens < 1.0 {
+        let is_rationed = f64::from(demand.requests) >= MIN_DEMAND * f64::from(demand.slots);
+        if is_rationed && state.tokens < 1.0 {
             return false;
         }
         state.tokens = (state.tokens - 1.0).max(0.0);
@@ -106,7 +79,6 @@
         let state = self.services.entry(service.clone());
         state.or_insert_with(|| State {
             duration: DEFAULT_DURATION,
-            wait: None,
             tokens: 1.0,
             refilled_at: now,
         })
--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -380,12 +380,6 @@
             .record_response_start(&placement.endpoint, placement.prompt_tokens);
     }
 
-    /// Records that the first event of a stream was received, or that none was until now.
-    pub fn record_wait(&mut self, placement: &Placement, now: Instant) {
-        let wait = now.duration_since(placement.chosen_at);
-        self.admission.record_wait(&placement.service, wait, now);
-    }
-
     /// Records how an attempt ended; returns whether the endpoint is now ejected.
     pub fn record_outcome(
         &mut self,
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -357,9 +357,6 @@
             Err(_) => {
                 self.possible_runs += 1;
                 self.log_outcome(&dispatch, "no answer by the deadline", "");
-                if self.route.stream {
-                    dispatch.record_wait();
-                }
                 dispatch.end(Outcome::Broke);
                 Disposition::Unknown(SmolStr::new_static("no answer by the deadline"))
             }
@@ -529,13 +526,11 @@
                 return Disposition::Unknown(reason.into());
             }
             Err(_) => {
-                upstream.dispatch().record_wait();
                 upstream.abort(Outcome::Dropped);
                 return Disposition::Unknown(SmolStr::new_static("no event by the deadline"));
             }
         };
         upstream.record_start();
-        upstream.dispatch().record_wait();
         self.context
             .metrics
             .first_byte
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -83,13 +83,6 @@
         });
     }
 
-    /// Records that the first event of a stream was received, or that none was until now.
-    pub(crate) fn record_wait(&self) {
-        let now = Instant::now();
-        self.context
-            .with_balancer(|balancer| balancer.record_wait(&self.placement, now));
-    }
-
     /// Ends the request with an outcome.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.record_end(outcome);
