fleet: keep to the minimum supported version of Rust

Cause: `BTreeMap::extract_if` is stable since 1.91, the workspace supports 1.90; clippy found it. Change: `retain` in its place. Behaviour and tests are the same.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -290,10 +290,13 @@
             .collect();
         self.lapsed
             .retain(|_, (_, expires_at)| !is_expired(expires_at));
-        let zones = self
-            .lapsed_zones
-            .extract_if(.., |_, expires_at| is_expired(expires_at));
-        updates.extend(zones.map(|(zone, _)| Update::ZoneIn(zone)));
+        self.lapsed_zones.retain(|zone, expires_at| {
+            let is_kept = !is_expired(expires_at);
+            if !is_kept {
+                updates.push(Update::ZoneIn(zone.clone()));
+            }
+            is_kept
+        });
         updates
     }
 
