--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -80,8 +80,8 @@
         Self {
             max_copy_time: Duration::from_millis(240),
             copy_price: 0.035,
-            min_skew: 1.35,
-            min_gain: 0.15,
+            min_skew: 1.6,
+            min_gain: 0.3,
             decay_time: Duration::from_millis(400),
             sudden_rise: 0.5,
             long_term_share: 0.5,
