direct: ration among the entries that are heard of; name late returns while a group is lost

Cause: rationing divided among entries that were lost in the last minute, which those that are left must replace; clients that were refused for want of a group came back into the same outage after 0.7 to 2.2 s. Change: rationing counts live entries; a refusal while a group is lost names the last third of the client's time. Paused endpoints count no slots. Tests: return_after_lost_group; excess_refused as before.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -127,6 +127,8 @@
     bounds: Bounds,
     /// Number of entries among which the fleet's limits are divided.
     entries: usize,
+    /// Number of entries that are heard of, this one included.
+    live_entries: usize,
     /// Largest number of entries before the last ones were lost, and the time of that loss.
     lost_entries: Option<(usize, Instant)>,
     started: Instant,
@@ -157,6 +159,7 @@
         Self {
             zone,
             entries: bounds.entries,
+            live_entries: 1,
             lost_entries: None,
             started: now,
             bounds,
@@ -188,7 +191,7 @@
         }
         let Some(mut placement) = self.find_best(view, attempt, now)? else {
             return Err(self
-                .fail_unavailable(attempt)
+                .fail_unavailable(ErrorKind::NoEndpoint, attempt)
                 .detail("no endpoint is present, reachable and making progress"));
         };
         let entries = self.entry_count(now);
@@ -233,14 +236,16 @@
         let (mut best, mut limit_kind): (Option<(f64, Placement)>, _) = (None, None);
         let mut first_pause_end: Option<Instant> = None;
         let silent_groups = self.silent_groups(view, now);
-        let mut demand = Demand::default();
+        let (mut demand, mut lost_groups) = (Demand::default(), false);
         for (id, known) in view.available(attempt.service, now) {
             let address = known.endpoint.address;
             let load = self.loads.total(id, now);
             demand.requests += load.requests - self.loads.own_requests(id);
-            let skipped = self.health.is_ejected(id, now)
-                || self.groups.is_broken(address, now)
-                || self.is_in(&silent_groups, address)
+            let is_group_lost =
+                self.groups.is_broken(address, now) || self.is_in(&silent_groups, address);
+            lost_groups |= is_group_lost;
+            let skipped = is_group_lost
+                || self.health.is_ejected(id, now)
                 || self.stalls.is_stalled(id, now)
                 || self.loads.is_unresponsive(id, now);
             let incarnation = known.endpoint.started_ms;
@@ -248,15 +253,15 @@
             if skipped || is_leaving {
                 continue;
             }
-            demand.slots += known.endpoint.slots;
-            if attempt.excluded.contains(id) {
-                continue;
-            }
             if let Some(until) = self.pauses.until(id, now) {
                 let first = first_pause_end.map_or(until, |end| end.min(until));
                 first_pause_end = Some(first);
                 continue;
             }
+            demand.slots += known.endpoint.slots;
+            if attempt.excluded.contains(id) {
+                continue;
+            }
             let slots = known.endpoint.slots.max(1);
             let cold = known.cold_until > now && cold_rate > 0.0;
             let rate_limit = cold_rate * self.bounds.cold_overshoot + self.bounds.cold_slack;
@@ -289,15 +294,20 @@
                 best = Some((score, placement));
             }
         }
-        let entries = self.entry_count(now);
         if has_engine
             && best.is_some()
-            && !self.admission.admit(attempt.service, demand, entries, now)
+            && !self
+                .admission
+                .admit(attempt.service, demand, self.live_entries, now)
         {
-            let detail = "more requests are in demand than slots";
-            return Err(self.fail_overloaded(ErrorKind::Overloaded).detail(detail));
+            let fault = match lost_groups {
+                true => self.fail_unavailable(ErrorKind::Overloaded, attempt),
+                false => self.fail_overloaded(ErrorKind::Overloaded),
+            };
+            return Err(fault.detail("more requests are in demand than slots"));
         }
         match (best, limit_kind, first_pause_end) {
+            (None, Some(kind), _) if lost_groups => Err(self.fail_unavailable(kind, attempt)),
             (None, Some(kind), _) => Err(self.fail_overloaded(kind)),
             (None, None, Some(end)) => Err(Fault::new(ErrorKind::Overloaded)
                 .retry_after(end.duration_since(now))
@@ -358,12 +368,12 @@
         Fault::new(kind).retry_after(wait)
     }
 
-    /// Creates the fault for a service without an available endpoint.
-    fn fail_unavailable(&mut self, attempt: &Attempt<'_>) -> Fault {
+    /// Creates the fault for a service that has lost all or some of its endpoints.
+    fn fail_unavailable(&mut self, kind: ErrorKind, attempt: &Attempt<'_>) -> Fault {
         let part = self
             .random
             .random_range(UNAVAILABLE_RETRY_AFTER.0..UNAVAILABLE_RETRY_AFTER.1);
-        Fault::new(ErrorKind::NoEndpoint).retry_after(attempt.time_left.mul_f64(part))
+        Fault::new(kind).retry_after(attempt.time_left.mul_f64(part))
     }
 }
 
@@ -491,10 +501,11 @@
 impl Balancer {
     /// Sets how many entries divide the fleet's limits; the number from the settings is the minimum.
     ///
-    /// A smaller number takes effect after a minute only.
+    /// For limits that must not be exceeded, a smaller number takes effect after a minute only.
     pub fn set_entry_count(&mut self, entries: usize, now: Instant) {
         let before = self.entry_count(now);
         self.entries = entries.max(self.bounds.entries);
+        self.live_entries = entries.max(1);
         if self.entries < before {
             self.lost_entries = Some((before, now));
         }
--- a/crates/direct/tests/suite/demand_rationing.rs
+++ b/crates/direct/tests/suite/demand_rationing.rs
@@ -90,3 +90,32 @@
     assert!(fault.retry_delay().is_some());
     balancer.record_outcome(&first, Outcome::Whole, Instant::now());
 }
+
+/// Load pattern: one of two groups is lost. A client that is refused returns once, so it is told to come
+/// back late in its time, when the group may have formed again.
+#[tokio::test(start_paused = true)]
+async fn return_after_lost_group() {
+    let (mut balancer, view, service) = (balancer(), view(8), "drafts".into());
+    let status = |name: &str, open, engines: std::ops::Range<u16>| group::Status {
+        service: "drafts".into(),
+        group: name.into(),
+        epoch: 1,
+        open,
+        engines: engines
+            .map(|index| ([127, 0, 0, 1], 1000 + index).into())
+            .collect(),
+    };
+    balancer.record_group(&status("g1", true, 0..4), Instant::now());
+    balancer.record_group(&status("g2", false, 4..8), Instant::now());
+    let mut refused = 0;
+    for _ in 0..60 {
+        let Err(fault) = balancer.choose(&view, &attempt(&service), Instant::now()) else {
+            continue;
+        };
+        refused += 1;
+        let third = attempt(&service).time_left / 3;
+        let wait = fault.retry_delay().unwrap();
+        assert!(wait > third * 3 / 4 && wait <= third, "{wait:?}");
+    }
+    assert!(refused > 0);
+}
