steer: slow the reports of large groups during a switch

Cause: 64 ranks that report every 10 ms to their leader send 1.9 MB/s, where its link carries 0.75 MB/s. Change: at least 0.4 ms for each rank of the group between two reports while a pass is held, twice that while experts are copied. Groups of up to 25 ranks report as before. Tests: large_group_reports_slower (failed with the intervals of before: 6.1 Mbit/s of 3.6 allowed).

--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -20,6 +20,10 @@
 /// Interval between the reports of a rank while a pass is held or about to be; the whole group waits
 /// for these reports.
 const HOLD_REPORT_INTERVAL: Duration = Duration::from_millis(10);
+/// Minimum interval between the reports of a rank per rank of the group while a pass is held, and twice
+/// that while experts are copied, so that the reports of large groups do not saturate their leader's
+/// network link.
+const REPORT_INTERVAL_PER_RANK: Duration = Duration::from_micros(400);
 /// Age at which a rank's report is too old for planning.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1200);
 /// Time that ranks get to arm before the held pass is due.
@@ -210,10 +214,11 @@
         if status.epoch > self.epoch || status.ranks != self.ranks && status.epoch == self.epoch {
             self.reset(&status, now);
         }
+        let min_pause = REPORT_INTERVAL_PER_RANK * u32::try_from(self.ranks).unwrap_or(u32::MAX);
         let pause = match self.switch.phase() {
             Phase::Idle => IDLE_REPORT_INTERVAL,
-            Phase::Preparing => PREPARE_REPORT_INTERVAL,
-            _ => HOLD_REPORT_INTERVAL,
+            Phase::Preparing => PREPARE_REPORT_INTERVAL.max(min_pause * 2),
+            _ => HOLD_REPORT_INTERVAL.max(min_pause),
         };
         if status.epoch < self.epoch || rank >= self.ranks {
             return Instructions {
--- a/crates/steer/tests/suite/leader_plans.rs
+++ b/crates/steer/tests/suite/leader_plans.rs
@@ -209,3 +209,39 @@
     old.epoch = EPOCH - 1;
     assert_eq!(leader.handle_report(1, old, Instant::now()).order, None);
 }
+
+/// Guards against reports that saturate the leader's link. On the largest site 64 ranks share 6 Mbit/s,
+/// and a report takes some 300 bytes on the wire.
+#[tokio::test(start_paused = true)]
+async fn large_group_reports_slower() {
+    const LARGE: usize = 64;
+    let mut leader = Leader::new(tuning(), Instant::now());
+    leader.set_limits(6, 2, Duration::from_millis(100));
+    let mut counts = vec![10; LARGE];
+    counts[0] = 4000;
+    for _ in 0..20 {
+        time::advance(Duration::from_millis(120)).await;
+        for rank in 0..LARGE {
+            let report = Status {
+                ranks: LARGE,
+                list: Some(vec![vec![rank as u16]]),
+                ..status(rank % RANKS, counts.clone())
+            };
+            let instructions = leader.handle_report(rank, report, Instant::now());
+            if matches!(instructions.order, Some(Order::Prepare { .. })) {
+                let next = leader.handle_report(
+                    rank,
+                    Status {
+                        ranks: LARGE,
+                        ..status(rank % RANKS, Vec::new())
+                    },
+                    Instant::now(),
+                );
+                let bits = LARGE as f64 / next.pause.as_secs_f64() * 300.0 * 8.0;
+                assert!(bits < 6e6 * 0.6, "{bits} bits a second");
+                return;
+            }
+        }
+    }
+    panic!("no plan was made");
+}
