--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::{BTreeSet, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -14,18 +14,22 @@
     net::UdpSocket,
     time::{self, Instant},
 };
+use wire::Watcher;
 
 use crate::{
-    Load, Settings,
+    Incarnation, Load, Settings,
     call::Context,
     suspects::{CrashId, Fingerprint},
     sync,
+    watching::Watching,
 };
 
 /// Interval at which changes of the local load are checked for and sent.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a message is sent even if the local load has not changed.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(700);
+/// Number of ticks in which a new revision is sent even if the local load has not changed.
+const CHANGE_TICKS: u32 = 4;
 /// Maximum number of entries to which a message is sent per tick; they are chosen at random, so with
 /// more entries each gets messages less often.
 const FANOUT: usize = 12;
@@ -40,10 +44,16 @@
 /// Time that the store has to deliver changes that another entry already knows; after that they are
 /// fetched from that entry.
 const MAX_STORE_LAG: Duration = Duration::from_millis(150);
-/// Maximum number of entry addresses in one message, and up to which seeds are learned from messages.
-const MAX_ADDRESSES: usize = 16;
+/// Time between two fetches, so that one returns all changes that follow closely.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
+/// Number of entry addresses in one message; they are chosen at random.
+const MAX_ADDRESSES: usize = 4;
+/// Number up to which seeds are learned from messages.
+const MAX_SEEDS: usize = 16;
 /// Maximum number of loads, and of missing endpoints, in one message, so that it fits into one packet.
 const MAX_ENDPOINTS: usize = 48;
+/// Maximum number of leaving endpoints in one message.
+const MAX_DEPARTURES: usize = 16;
 /// Size of the receive buffer, and so of the largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8192;
 
@@ -60,10 +70,16 @@
     newest_revision: Revision,
     /// Load that the sender puts on each endpoint.
     loads: Vec<(id::Endpoint, Load)>,
+    /// Availability zone of the sender.
+    zone: id::Zone,
+    /// Entries that watch the store for the sender's zone.
+    watchers: Vec<Watcher>,
     /// Recent crashes with the fingerprint of the request that may have caused each.
     crashes: Vec<(Fingerprint, CrashId)>,
     /// Endpoints that the sender found to be missing, although the store still lists them.
     missing: Vec<id::Endpoint>,
+    /// Endpoints that stated that they are leaving, with the incarnation that is.
+    leaving: Vec<(id::Endpoint, Incarnation)>,
     /// Gossip addresses of other entries that the sender knows.
     #[serde(rename = "known")]
     members: Vec<SocketAddr>,
@@ -74,6 +90,7 @@
     process: id::Process,
     sync_address: SocketAddr,
     newest_revision: Revision,
+    zone: id::Zone,
     last_message: Instant,
 }
 
@@ -84,10 +101,12 @@
 pub(crate) struct Gossip {
     socket: UdpSocket,
     process: id::Process,
+    zone: id::Zone,
     local_address: SocketAddr,
     sync_address: SocketAddr,
     follower: Arc<Follower>,
     context: Arc<Context>,
+    watching: Arc<Watching>,
     members: Mutex<HashMap<SocketAddr, Member>>,
     seeds: Mutex<BTreeSet<SocketAddr>>,
 }
@@ -102,6 +121,7 @@
         settings: &Settings,
         follower: Arc<Follower>,
         context: Arc<Context>,
+        watching: Arc<Watching>,
     ) -> anyhow::Result<Arc<Self>> {
         let local_address = settings.listen.gossip;
         let socket = UdpSocket::bind(local_address)
@@ -110,10 +130,12 @@
         let gossip = Self {
             socket,
             process: settings.name.clone(),
+            zone: settings.zone.clone(),
             local_address,
             sync_address: settings.listen.peers,
             follower,
             context,
+            watching,
             members: Mutex::default(),
             seeds: Mutex::default(),
         };
@@ -136,6 +158,7 @@
         tokio::spawn(self.clone().receive());
         tokio::spawn(self.clone().catch_up());
         let (mut sent_loads, mut sent_at, mut seeded_at) = (Vec::new(), Instant::now(), None);
+        let (mut sent_revision, mut urgent_ticks) = (Revision::default(), 0);
         let mut ticks = time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
@@ -145,9 +168,18 @@
             let loads = self
                 .context
                 .with_balancer(|balancer| balancer.local_loads());
+            let (_, newest_revision, _) = self.follower.position();
+            if newest_revision != sent_revision {
+                (sent_revision, urgent_ticks) = (newest_revision, CHANGE_TICKS);
+            }
+            let is_urgent = urgent_ticks > 0;
+            urgent_ticks = urgent_ticks.saturating_sub(1);
             let mut targets = Vec::new();
-            if loads != sent_loads || now.duration_since(sent_at) >= KEEP_ALIVE_INTERVAL {
-                targets = self.choose_targets();
+            if is_urgent
+                || loads != sent_loads
+                || now.duration_since(sent_at) >= KEEP_ALIVE_INTERVAL
+            {
+                targets = self.sample(FANOUT);
                 (sent_loads, sent_at) = (loads.clone(), now);
             }
             if seeded_at.is_none_or(|at| now.duration_since(at) >= SEED_INTERVAL) {
@@ -160,9 +192,16 @@
         }
     }
 
-    fn choose_targets(&self) -> Vec<SocketAddr> {
+    /// Chooses the gossip addresses of up to `count` random other entries.
+    pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
         let members = lock(&self.members);
-        members.keys().copied().sample(&mut rand::rng(), FANOUT)
+        members.keys().copied().sample(&mut rand::rng(), count)
+    }
+
+    /// Returns whether messages come in from an entry at an IP address.
+    pub(crate) fn is_member(&self, ip: IpAddr) -> bool {
+        let address = SocketAddr::new(ip, self.local_address.port());
+        lock(&self.members).contains_key(&address)
     }
 
     fn unknown_seeds(&self) -> Vec<SocketAddr> {
@@ -186,22 +225,45 @@
             .context
             .with_balancer(|balancer| balancer.recently_missing(MISSING_SPAN, now));
         missing.truncate(MAX_ENDPOINTS);
-        let message = Message {
+        let mut message = Message {
             process: self.process.clone(),
             sync_address: self.sync_address,
             newest_revision,
+            zone: self.zone.clone(),
+            watchers: Vec::new(),
             loads,
             crashes: self
                 .context
                 .with_balancer(|balancer| balancer.recent_crashes(CRASH_SPAN, now)),
             missing,
-            members: lock(&self.members)
-                .keys()
-                .copied()
-                .take(MAX_ADDRESSES)
-                .collect(),
+            leaving: self
+                .context
+                .with_balancer(|balancer| balancer.recent_departures(MAX_DEPARTURES, now)),
+            members: self.sample(MAX_ADDRESSES),
+        };
+        let (near, far) = self.split_by_zone(targets);
+        self.send_to(&message, &far).await;
+        // Other zones have watchers of their own.
+        message.watchers = self.watching.watchers();
+        self.send_to(&message, &near).await;
+    }
+
+    /// Splits the addresses of other entries into those in the own zone or an unknown one, and the others.
+    fn split_by_zone(&self, targets: &[SocketAddr]) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let members = lock(&self.members);
+        let is_near = |address: &&SocketAddr| {
+            members
+                .get(address)
+                .is_none_or(|member| member.zone == self.zone)
         };
-        let bytes = match rmp_serde::to_vec(&message) {
+        targets.iter().partition(is_near)
+    }
+
+    async fn send_to(&self, message: &Message, targets: &[SocketAddr]) {
+        if targets.is_empty() {
+            return;
+        }
+        let bytes = match rmp_serde::to_vec(message) {
             Ok(bytes) => bytes,
             Err(e) => {
                 log::warn!(reason:% = e; "gossip message cannot be encoded");
@@ -240,6 +302,7 @@
             process: message.process.clone(),
             sync_address: message.sync_address,
             newest_revision: message.newest_revision,
+            zone: message.zone.clone(),
             last_message: now,
         };
         let (known, count) = {
@@ -251,6 +314,7 @@
             log::info!(peer:% = message.process, address:% = from; "entry found");
             self.update_entry_count(count);
         }
+        self.watching.observe(&message.watchers);
         self.context.with_balancer(|balancer| {
             balancer.record_report(&message.process, message.loads, now);
             for endpoint in &message.missing {
@@ -259,6 +323,11 @@
             for (fingerprint, crash) in message.crashes {
                 balancer.record_crash(fingerprint, crash, now);
             }
+            for (endpoint, incarnation) in message.leaving {
+                if balancer.record_reported_departure(&endpoint, incarnation, now) {
+                    log::info!(endpoint:% = endpoint, peer:% = message.process; "endpoint is leaving");
+                }
+            }
         });
         let members = lock(&self.members);
         let mut seeds = lock(&self.seeds);
@@ -266,7 +335,7 @@
             .members
             .into_iter()
             .filter(|a| *a != self.local_address && !members.contains_key(a));
-        let capacity = MAX_ADDRESSES.saturating_sub(seeds.len());
+        let capacity = MAX_SEEDS.saturating_sub(seeds.len());
         seeds.extend(unknown.take(capacity).collect::<Vec<_>>());
     }
 
@@ -297,8 +366,9 @@
             .metrics
             .entries
             .set(i64::try_from(entries).unwrap_or(i64::MAX));
+        self.watching.set_entry_count(entries);
         self.context
-            .with_balancer(|balancer| balancer.set_entry_count(entries));
+            .with_balancer(|balancer| balancer.set_entry_count(entries, Instant::now()));
     }
 
     /// Fetches changes from other entries that the store does not deliver in time.
@@ -314,11 +384,15 @@
                 continue;
             };
             let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() < MAX_STORE_LAG {
+            if self.watching.is_watching() && since.elapsed() < MAX_STORE_LAG {
                 continue;
             }
             match sync::fetch(address, covered).await {
-                Ok(page) => self.follower.apply(page, &process),
+                Ok(page) => {
+                    self.follower.apply(page, &process);
+                    self.watching.record_page();
+                    time::sleep(FETCH_PAUSE).await;
+                }
                 Err(e) => {
                     log::info!(peer:% = process, reason:% = format!("{e:#}"); "changes cannot be fetched from another entry")
                 }
@@ -326,13 +400,18 @@
         }
     }
 
-    /// Chooses a random entry that knows a newer revision than `covered`.
+    /// Chooses a random entry that knows a newer revision than `covered`, in the own zone if one does:
+    /// traffic between zones is billed.
     fn choose_ahead(&self, covered: Revision) -> Option<(id::Process, SocketAddr)> {
         let members = lock(&self.members);
-        let ahead = members
-            .values()
-            .filter(|member| member.newest_revision > covered);
-        let chosen = ahead.choose(&mut rand::rng())?;
+        let ahead = || {
+            members
+                .values()
+                .filter(|member| member.newest_revision > covered)
+        };
+        let random = &mut rand::rng();
+        let near = ahead().filter(|member| member.zone == self.zone);
+        let chosen = near.choose(random).or_else(|| ahead().choose(random))?;
         Some((chosen.process.clone(), chosen.sync_address))
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,19 +5,23 @@
 //! reports between clients, endpoints, the platform and other entries. [`Protocol`] is the interface
 //! to the platform's HTTP headers, and [`fleet::Source`] that to the platform's store.
 
+mod admission;
 mod balancer;
 mod body;
 mod budget;
 mod call;
 pub mod cold;
+mod departures;
 mod dispatch;
 pub mod events;
 mod forward;
 mod gossip;
+mod groups;
 mod health;
 mod load;
 pub mod metadata;
 mod metrics;
+mod pauses;
 mod pool;
 mod protocol;
 mod response;
@@ -29,12 +33,16 @@
 mod stream;
 mod suspects;
 mod sync;
+mod watching;
 mod window;
 
+pub use admission::{Admission, Demand};
 pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
 pub use budget::Budget;
+pub use departures::{Departures, Incarnation};
 pub use health::Health;
 pub use load::{Load, Loads};
+pub use pauses::Pauses;
 pub use protocol::Protocol;
 pub use run::run;
 pub use settings::{Bounds, Listen, Settings};
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Ordering,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -9,7 +10,7 @@
     time::{self, Instant},
 };
 
-use crate::{Page, Replica, Revision, Source, SourceError, Update, View};
+use crate::{Duty, Page, Replica, Revision, Source, SourceError, Update, View};
 
 /// Delay after the first failed call to the store; it doubles up to [`MAX_RETRY_DELAY`].
 ///
@@ -21,9 +22,29 @@
 ///
 /// It is a fraction of two seconds, the platform's smallest limit for putting a change into force.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
+/// Interval at which a process that is not on duty checks whether it is now.
+const DUTY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two checks for lapsed endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Returns an error if a page cannot be applied, since it is of another era than the replica at
+/// `covered`: only a complete listing leads into a new era, and none leads back.
+fn check_era(
+    result: Result<Page, SourceError>,
+    is_listing: bool,
+    covered: Revision,
+) -> Result<Page, SourceError> {
+    let page = result?;
+    match page.covered.era.cmp(&covered.era) {
+        Ordering::Less => Err(SourceError::Unavailable(format!(
+            "response of the earlier era {}",
+            page.covered.era
+        ))),
+        Ordering::Greater if !is_listing => Err(SourceError::Restored(page.covered.era)),
+        _ => Ok(page),
+    }
+}
+
 /// Keeps a [`Replica`] up to date with the store and publishes its [`View`].
 ///
 /// Lock order: `replica` is the only lock and is never held across an await.
@@ -68,7 +89,10 @@
     /// Returns the changes for a process that has applied all changes up to `after`.
     #[must_use]
     pub fn changes_since(&self, after: Revision) -> Page {
-        self.with_replica(|replica| replica.changes_since(after))
+        self.with_replica(|replica| Page {
+            lapsing: replica.lapsing(Instant::now()),
+            ..replica.changes_since(after)
+        })
     }
 
     /// Returns the revision up to which all changes have been applied, the revision of the newest
@@ -90,7 +114,7 @@
 
     fn publish(&self, updates: &[Update], view: View, from: &str) {
         for update in updates {
-            log::info!(from = from, covered = view.covered, learned:? = update; "learned");
+            log::info!(from = from, covered:% = view.covered, learned:? = update; "learned");
         }
         let version = view.configuration.as_ref().map_or(0, |c| c.version);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -103,29 +127,39 @@
         operation(&mut replica)
     }
 
-    /// Lists and watches the store; never returns.
-    pub async fn run(self: Arc<Self>, source: Arc<dyn Source>) {
+    /// Lists and watches the store while on duty; never returns.
+    pub async fn run(self: Arc<Self>, source: Arc<dyn Source>, duty: Arc<dyn Duty>) {
         tokio::spawn(self.clone().expire());
-        let (mut listed, mut unavailable, mut retry_delay) = (false, false, MIN_RETRY_DELAY);
+        let (mut is_obsolete, mut unavailable) = (false, false);
+        let mut retry_delay = MIN_RETRY_DELAY;
         loop {
+            if !duty.is_on() {
+                time::sleep(DUTY_INTERVAL).await;
+                continue;
+            }
             let (covered, ..) = self.position();
-            let result = if listed {
-                source.watch(covered).await
-            } else {
+            // The replica may come from another process, and is then watched from there on.
+            let listing = is_obsolete || covered == Revision::default();
+            let result = if listing {
                 source.list().await
+            } else {
+                source.watch(covered).await
             };
+            let result = check_era(result, listing, covered);
             let outcome = match &result {
                 Ok(_) => "ok",
                 Err(SourceError::Compacted) => "compacted",
+                Err(SourceError::Restored(_)) => "restored",
                 Err(SourceError::Unavailable(_)) => "unavailable",
             };
             self.calls.with_label_values(&[outcome]).inc();
             match result {
                 Ok(page) => {
                     if std::mem::take(&mut unavailable) {
-                        log::info!(covered = covered; "store is available again");
+                        log::info!(covered:% = covered; "store is available again");
                     }
-                    (listed, retry_delay) = (true, MIN_RETRY_DELAY);
+                    (is_obsolete, retry_delay) = (false, MIN_RETRY_DELAY);
+                    duty.record_answer();
                     let changed = !page.changes.is_empty();
                     self.apply(page, "store");
                     if changed {
@@ -133,13 +167,20 @@
                     }
                 }
                 Err(SourceError::Compacted) => {
-                    log::info!(covered = covered; "store compacted its history; listing all items");
-                    listed = false;
+                    log::info!(covered:% = covered; "store compacted its history; listing all items");
+                    is_obsolete = true;
+                    duty.record_answer();
+                }
+                Err(SourceError::Restored(era)) => {
+                    log::warn!(covered:% = covered, era = era; "store was restored from an older copy; listing all items");
+                    is_obsolete = true;
+                    duty.record_answer();
                 }
                 Err(SourceError::Unavailable(reason)) => {
                     if !std::mem::replace(&mut unavailable, true) {
-                        log::warn!(covered = covered, reason = reason; "store is unavailable");
+                        log::warn!(covered:% = covered, reason = reason; "store is unavailable");
                     }
+                    duty.record_failure();
                     self.with_replica(|replica| replica.note_failure(Instant::now()));
                     let jitter = rand::random_range(0.7..1.3);
                     time::sleep(retry_delay.mul_f64(jitter)).await;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,18 +4,22 @@
 //! order; its [`View`] holds the configuration, endpoints and zones in force. A [`Follower`] updates
 //! the replica from a [`Source`], the interface to the store.
 
+mod duty;
 mod endpoint;
 mod follower;
 mod item;
 mod replica;
+mod revision;
 mod routing;
 mod source;
 mod view;
 
+pub use duty::{Always, Duty};
 pub use endpoint::{Endpoint, Stage};
 pub use follower::Follower;
-pub use item::{Change, Content, Item, Page, Revision};
+pub use item::{Change, Content, Item, Page};
 pub use replica::{LAPSE_GRACE, REREGISTRATION_WINDOW, Replica, Update};
+pub use revision::Revision;
 pub use routing::{Configuration, Engine, Limits, Repeat, Route, Service, Split, Team};
 pub use source::{Error as SourceError, Source};
 pub use view::{Registration, View};
--- a/crates/fleet/tests/suite/store_follower.rs
+++ b/crates/fleet/tests/suite/store_follower.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use fleet::{Follower, Page, Revision, Source, SourceError, Stage};
+use fleet::{Always, Follower, Page, Revision, Source, SourceError, Stage};
 use futures::future::BoxFuture;
 use prometheus::Registry;
 use tokio::time;
@@ -13,19 +13,23 @@
 
 /// Store that returns prepared results and records its calls.
 #[derive(Default)]
-struct FakeStore {
+pub(crate) struct FakeStore {
     results: Mutex<VecDeque<Result<Page, SourceError>>>,
     calls: Mutex<Vec<String>>,
 }
 
 impl FakeStore {
-    fn new(results: Vec<Result<Page, SourceError>>) -> Arc<Self> {
+    pub(crate) fn new(results: Vec<Result<Page, SourceError>>) -> Arc<Self> {
         Arc::new(Self {
             results: Mutex::new(results.into()),
             calls: Mutex::default(),
         })
     }
 
+    pub(crate) fn calls(&self) -> Vec<String> {
+        self.calls.lock().unwrap().clone()
+    }
+
     fn next(&self, call: String) -> BoxFuture<'_, Result<Page, SourceError>> {
         self.calls.lock().unwrap().push(call);
         let result = self.results.lock().unwrap().pop_front();
@@ -50,7 +54,7 @@
 
 async fn start_follower(store: &Arc<FakeStore>) -> Arc<Follower> {
     let follower = Arc::new(Follower::new(&Registry::new()).unwrap());
-    tokio::spawn(follower.clone().run(store.clone()));
+    tokio::spawn(follower.clone().run(store.clone(), Arc::new(Always)));
     time::sleep(Duration::from_secs(30)).await;
     follower
 }
@@ -67,7 +71,7 @@
         *store.calls.lock().unwrap(),
         ["list", "watch 1", "list", "watch 9"]
     );
-    assert_eq!(follower.position(), (9, 9, 2));
+    assert_eq!(follower.position(), (9.into(), 9.into(), 2));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -7,7 +7,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Decision, Order, Phase, Popularity, Status, Switch,
+    Decision, Delta, Order, Phase, Popularity, Status, Switch,
+    delta::normalized,
     engine::{Epoch, Pass, Version},
     switch::{Progress, STANDBYS},
 };
@@ -19,6 +20,10 @@
 /// Interval between the reports of a rank while a pass is held or about to be; the whole group waits
 /// for these reports.
 const HOLD_REPORT_INTERVAL: Duration = Duration::from_millis(10);
+/// Minimum interval between the reports of a rank per rank of the group while a pass is held, and twice
+/// that while experts are copied, so that the reports of large groups do not saturate their leader's
+/// network link.
+const REPORT_INTERVAL_PER_RANK: Duration = Duration::from_micros(400);
 /// Age at which a rank's report is too old for planning.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1200);
 /// Time that ranks get to arm before the held pass is due.
@@ -118,6 +123,8 @@
     switch: Switch,
     popularity: Popularity,
     placement: Option<Placement>,
+    /// Version of `placement`.
+    placement_version: Version,
     /// Experts by set that each rank reported, while the placement is unknown.
     lists: Vec<Option<Vec<Vec<u16>>>>,
     reported_at: Vec<Option<Instant>>,
@@ -144,6 +151,7 @@
             switch: Switch::new(0),
             popularity: Popularity::new(tuning.decay_time, 0),
             placement: None,
+            placement_version: 0,
             lists: Vec::new(),
             reported_at: Vec::new(),
             engines: Vec::new(),
@@ -171,6 +179,19 @@
         self.epoch
     }
 
+    /// Returns a placement as its differences from the one in use; `None` if that one is not known.
+    #[must_use]
+    pub fn delta(&self, next: &Placement) -> Option<Delta> {
+        let current = self.placement.as_ref()?;
+        Delta::between(self.placement_version, current, next)
+    }
+
+    /// Returns the addresses of the engines of all ranks, once all have reported.
+    #[must_use]
+    pub fn engines(&self) -> Option<Vec<SocketAddr>> {
+        self.engines.iter().copied().collect()
+    }
+
     /// Sets the maximum number of experts per set on a rank, the maximum number of experts per set
     /// that a rank adds in one change, and the time to copy one expert.
     pub fn set_limits(
@@ -193,10 +214,11 @@
         if status.epoch > self.epoch || status.ranks != self.ranks && status.epoch == self.epoch {
             self.reset(&status, now);
         }
+        let min_pause = REPORT_INTERVAL_PER_RANK * u32::try_from(self.ranks).unwrap_or(u32::MAX);
         let pause = match self.switch.phase() {
             Phase::Idle => IDLE_REPORT_INTERVAL,
-            Phase::Preparing => PREPARE_REPORT_INTERVAL,
-            _ => HOLD_REPORT_INTERVAL,
+            Phase::Preparing => PREPARE_REPORT_INTERVAL.max(min_pause * 2),
+            _ => HOLD_REPORT_INTERVAL.max(min_pause),
         };
         if status.epoch < self.epoch || rank >= self.ranks {
             return Instructions {
@@ -212,7 +234,7 @@
             self.popularity.add(&status.counts, now);
         }
         if let Some(list) = &status.list {
-            self.record_list(rank, list);
+            self.record_list(rank, list, status.map);
         }
         if rank == 0 {
             self.measure_pass(status.pass, now);
@@ -236,7 +258,7 @@
         Some(Decision {
             epoch: self.epoch,
             version,
-            engines: self.engines.iter().copied().collect::<Option<_>>()?,
+            engines: self.engines()?,
         })
     }
 
@@ -257,6 +279,7 @@
         self.ranks = status.ranks;
         self.switch = Switch::new(status.ranks);
         self.placement = self.initial_placement(status);
+        self.placement_version = 0;
         self.lists = vec![None; status.ranks];
         self.reported_at = vec![None; status.ranks];
         self.engines = vec![None; status.ranks];
@@ -272,7 +295,7 @@
     }
 
     /// Records the experts of a rank; the placement in use follows from the lists of all ranks.
-    fn record_list(&mut self, rank: usize, list: &[Vec<u16>]) {
+    fn record_list(&mut self, rank: usize, list: &[Vec<u16>], version: Version) {
         if self.placement.is_some() || self.switch.phase() != &Phase::Idle {
             return;
         }
@@ -287,6 +310,7 @@
         let experts = |rank: &Vec<Vec<u16>>, set: usize| rank.get(set).cloned().unwrap_or_default();
         let set = |index| lists.iter().map(|rank| experts(rank, index)).collect();
         self.placement = Some((0..sets).map(set).collect());
+        self.placement_version = version;
         if sets != self.sets {
             self.sets = sets;
             self.popularity = Popularity::new(self.tuning.decay_time, sets);
@@ -328,6 +352,7 @@
                 let skew = Balancer::skew(&placement, &self.popularity.medium_term());
                 log::info!(epoch = self.epoch, map = version, skew = format!("{skew:.3}"); "map is in use");
                 self.placement = Some(placement);
+                self.placement_version = version;
                 self.next_plan_at = now + self.tuning.cooldown;
             }
             Progress::Ended(None) => {
@@ -412,6 +437,7 @@
             choices = self.popularity.choices_per_set() as u64;
             "switch begins"
         );
-        self.switch.start(version, change.placement, now);
+        self.switch
+            .start(version, normalized(&change.placement), now);
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,7 +5,9 @@
 //! such that two ranks never run a pass with different maps. If an agent stops responding during a
 //! change, another one completes it ([`Takeover`]). [`Engine`] is the interface to engines.
 
+mod announce;
 mod beacon;
+mod delta;
 mod engine;
 mod failover;
 mod leader;
@@ -18,6 +20,7 @@
 mod takeover;
 mod worker;
 
+pub use delta::{Delta, normalized};
 pub use engine::{
     Connector, Counts, Engine, Epoch, Group, List, Lists, Order, Pass, Reply, Report, Version,
 };
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use conf::id;
-use fleet::{Follower, Source};
+use fleet::{Always, Follower, Source};
 use node::probe;
 use prometheus::Registry;
 use tokio::{
@@ -12,7 +12,8 @@
 };
 
 use crate::{
-    Connector, Settings, beacon, failover, metrics::Metrics, peers, peers::Peers, worker::Worker,
+    Connector, Settings, announce::Announcer, beacon, failover, metrics::Metrics, peers,
+    peers::Peers, worker::Worker,
 };
 
 /// Interval at which the agent checks whether it leads a group.
@@ -43,6 +44,15 @@
     let listener = TcpListener::bind(peers_address)
         .await
         .context("field `listen.peers`")?;
+    let groups = UdpSocket::bind(settings.listen.groups)
+        .await
+        .context("field `listen.groups`")?;
+    let announcer = Announcer::new(
+        groups,
+        settings.service.clone(),
+        &settings.seeds,
+        peers.clone(),
+    )?;
     let operators = TcpListener::bind(settings.listen.operators)
         .await
         .context("field `listen.operators`")?;
@@ -57,7 +67,15 @@
         peers.clone(),
         view,
     ));
-    tokio::spawn(Worker::new(settings.engine, &*connector, peers.clone(), metrics).run());
+    tokio::spawn(announcer.clone().run());
+    let worker = Worker::new(
+        settings.engine,
+        &*connector,
+        peers.clone(),
+        announcer,
+        metrics,
+    );
+    tokio::spawn(worker.run());
     tokio::spawn(failover::run(peers.clone(), connector));
     tokio::spawn(follow_when_leading(service, peers, follower, source));
     loop {
@@ -82,7 +100,7 @@
         time::sleep(POLL_INTERVAL).await;
     }
     let mut view = follower.subscribe();
-    tokio::spawn(follower.run(source));
+    tokio::spawn(follower.run(source, Arc::new(Always)));
     let mut ticks = time::interval(POLL_INTERVAL);
     loop {
         // Also on ticks without a change, since this agent may have become the leader of another group.
