steer: let ranks report often while a pass is held, and arm large groups longer

Change: reports every 10 ms again while a pass is held; the slower ones stay while experts are copied. Ranks get 4 ms each to arm, 150 ms at least. Tests: large_group_arms_longer failed before (150 ms).

--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -20,14 +20,15 @@
 /// Interval between the reports of a rank while a pass is held or about to be; the whole group waits
 /// for these reports.
 const HOLD_REPORT_INTERVAL: Duration = Duration::from_millis(10);
-/// Minimum interval between the reports of a rank per rank of the group while a pass is held, and twice
-/// that while experts are copied, so that the reports of large groups do not saturate their leader's
-/// network link.
-const REPORT_INTERVAL_PER_RANK: Duration = Duration::from_micros(400);
+/// Minimum interval between the reports of a rank per rank of the group while experts are copied, so that
+/// the reports of large groups do not saturate their leader's network link.
+const REPORT_INTERVAL_PER_RANK: Duration = Duration::from_micros(800);
 /// Age at which a rank's report is too old for planning.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1200);
-/// Time that ranks get to arm before the held pass is due.
-const ARM_TIME: Duration = Duration::from_millis(150);
+/// Minimum time that ranks get to arm before the held pass is due.
+const MIN_ARM_TIME: Duration = Duration::from_millis(150);
+/// Time per rank that ranks get to arm; the leader's network link carries their reports one by one.
+const ARM_TIME_PER_RANK: Duration = Duration::from_millis(4);
 /// Interval between two log lines on the state of the group.
 const LOG_INTERVAL: Duration = Duration::from_millis(250);
 /// Lower limit on how many passes ahead of the current one a hold is.
@@ -217,8 +218,8 @@
         let min_pause = REPORT_INTERVAL_PER_RANK * u32::try_from(self.ranks).unwrap_or(u32::MAX);
         let pause = match self.switch.phase() {
             Phase::Idle => IDLE_REPORT_INTERVAL,
-            Phase::Preparing => PREPARE_REPORT_INTERVAL.max(min_pause * 2),
-            _ => HOLD_REPORT_INTERVAL.max(min_pause),
+            Phase::Preparing => PREPARE_REPORT_INTERVAL.max(min_pause),
+            _ => HOLD_REPORT_INTERVAL,
         };
         if status.epoch < self.epoch || rank >= self.ranks {
             return Instructions {
@@ -338,7 +339,9 @@
             .pass_timing
             .map_or(DEFAULT_PASS_TIME, |(_, _, pass_time)| pass_time)
             .max(Duration::from_millis(1));
-        let passes = ARM_TIME.as_secs_f64() / pass_time.as_secs_f64();
+        let arm_time = ARM_TIME_PER_RANK * u32::try_from(self.ranks).unwrap_or(u32::MAX);
+        let arm_time = arm_time.max(MIN_ARM_TIME);
+        let passes = arm_time.as_secs_f64() / pass_time.as_secs_f64();
         (passes.ceil() as Pass).max(MIN_HOLD_LEAD)
     }
 
--- a/crates/steer/tests/suite/leader_plans.rs
+++ b/crates/steer/tests/suite/leader_plans.rs
@@ -245,3 +245,48 @@
     }
     panic!("no plan was made");
 }
+
+/// Guards against a pass that is held while the ranks of a large group arm one after the other. On the
+/// largest site 64 ranks took 0.2 s, and each switch delayed all streams of the group.
+#[tokio::test(start_paused = true)]
+async fn large_group_arms_longer() {
+    const LARGE: usize = 64;
+    let mut leader = Leader::new(tuning(), Instant::now());
+    leader.set_limits(6, 2, Duration::from_millis(100));
+    let mut counts = vec![10; LARGE];
+    counts[0] = 4000;
+    let (mut pass, mut version, mut digests) = (10, None, vec![None; LARGE]);
+    for _ in 0..120 {
+        time::advance(Duration::from_millis(25)).await;
+        pass += 1;
+        for rank in 0..LARGE {
+            let report = Status {
+                ranks: LARGE,
+                engine: (Ipv4Addr::LOCALHOST, 9000 + rank as u16).into(),
+                pass,
+                prepared: version,
+                digest: digests[rank],
+                decided: version.filter(|_| (1..=2).contains(&rank)),
+                list: Some(vec![vec![rank as u16]]),
+                ..status(rank % RANKS, counts.clone())
+            };
+            match leader.handle_report(rank, report, Instant::now()).order {
+                Some(Order::Prepare {
+                    version: next,
+                    placement,
+                }) => {
+                    version = Some(next);
+                    let set = |rank: usize| placement.iter().map(move |set| &set[rank]);
+                    digests = (0..LARGE).map(|rank| Some(digest(set(rank)))).collect();
+                }
+                Some(Order::Hold { pass: held }) => {
+                    let lead = Duration::from_millis(25) * (held - pass) as u32;
+                    assert!(lead >= Duration::from_millis(200), "{lead:?}");
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+    panic!("no pass was held");
+}
