direct: assume twice the known entries for cold endpoints, once others have been heard

After a loss of all power every endpoint is cold, and entries assumed a fleet of 256 for five seconds: nine entries sent 8 requests a second to 16 engines together. Change: 256 entries are assumed for 1.5 s only, then twice those known until 5 s after the start. Tests: small_fleet_restarts failed before (1 of 20 requests sent, 15 are to be); first_requests_spread and startup_rate_limited bound the rate as before.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -42,7 +42,9 @@
 const SILENT_ENGINES: usize = 2;
 /// Maximum number of requests that wait at an engine in addition to those in its slots.
 const MAX_WAITING: u32 = 2;
-/// Time after its start in which an entry may not know all other entries yet.
+/// Time after its start in which an entry may know few other entries.
+const CONTACT_TIME: Duration = Duration::from_millis(1500);
+/// Time after its start in which an entry may not know all other entries yet, but half of them.
 const DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// Time for which the fleet's limits are still divided among entries that are no longer heard of: they
 /// may only be cut off from this one.
@@ -228,11 +230,7 @@
             .and_then(|c| c.services.get(attempt.service));
         let has_engine = service.is_some_and(|s| s.engine.is_some());
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
-        let is_discovery_over = now.duration_since(self.started) >= DISCOVERY_TIME;
-        let entries = match is_discovery_over {
-            true => self.entry_count(now),
-            false => self.entry_count(now).max(STARTUP_ENTRIES),
-        };
+        let entries = self.assumed_entry_count(now);
         let (mut best, mut limit_kind): (Option<(f64, Placement)>, _) = (None, None);
         let mut first_pause_end: Option<Instant> = None;
         let silent_groups = self.silent_groups(view, now);
@@ -519,6 +517,18 @@
         lost.map_or(self.entries, |(before, _)| before.max(self.entries))
     }
 
+    /// Returns how many entries there may be at most, also just after the start.
+    fn assumed_entry_count(&self, now: Instant) -> usize {
+        let (age, known) = (now.duration_since(self.started), self.entry_count(now));
+        if age < CONTACT_TIME {
+            known.max(STARTUP_ENTRIES)
+        } else if age < DISCOVERY_TIME {
+            known * 2
+        } else {
+            known
+        }
+    }
+
     /// Lists up to `limit` endpoints that stated lately that they are leaving.
     #[must_use]
     pub fn recent_departures(
--- a/crates/direct/tests/suite/balancer_choice.rs
+++ b/crates/direct/tests/suite/balancer_choice.rs
@@ -236,3 +236,26 @@
     // 35 entries that have just started stay within rate 10 with overshoot factor 1.5 and slack 5.
     assert!(35 * sent <= 35, "{sent} in one second");
 }
+
+/// Load pattern: all entries and all endpoints of a small fleet restart at once, as after a power loss, so
+/// that every endpoint is cold. Guards against entries that assume a large fleet for seconds and refuse
+/// nearly everything, as in benchmark run `trouble-1` of the site `further`.
+#[tokio::test(start_paused = true)]
+async fn small_fleet_restarts() {
+    let (mut balancer, mut view, service) = (balancer(), view(16), "drafts".into());
+    balancer.set_entry_count(9, Instant::now());
+    time::advance(Duration::from_millis(1500)).await;
+    let now = Instant::now();
+    for known in view.endpoints.values_mut() {
+        known.cold_until = now + Duration::from_secs(3);
+    }
+    let mut sent = 0;
+    for _ in 0..20 {
+        if let Ok(placement) = balancer.choose(&view, &attempt(&service), Instant::now()) {
+            sent += 1;
+            balancer.record_outcome(&placement, Outcome::Whole, Instant::now());
+        }
+        time::advance(Duration::from_millis(100)).await;
+    }
+    assert!(sent >= 15, "{sent} of 20");
+}
