fleet: log each failed call to the store, with its wait, the outage's length and the next try

Cause: only the first failed call of an outage was logged, so that an entry that notices the store's return late could not be told from one that is not told of it. No decision changes.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -130,7 +130,8 @@
     /// Lists and watches the store while on duty; never returns.
     pub async fn run(self: Arc<Self>, source: Arc<dyn Source>, duty: Arc<dyn Duty>) {
         tokio::spawn(self.clone().expire());
-        let (mut is_obsolete, mut unavailable) = (false, false);
+        let mut is_obsolete = false;
+        let mut unavailable_since: Option<Instant> = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         loop {
             if !duty.is_on() {
@@ -140,6 +141,7 @@
             let (covered, ..) = self.position();
             // The replica may come from another process, and is then watched from there on.
             let listing = is_obsolete || covered == Revision::default();
+            let called_at = Instant::now();
             let result = if listing {
                 source.list().await
             } else {
@@ -155,8 +157,8 @@
             self.calls.with_label_values(&[outcome]).inc();
             match result {
                 Ok(page) => {
-                    if std::mem::take(&mut unavailable) {
-                        log::info!(covered:% = covered; "store is available again");
+                    if let Some(since) = unavailable_since.take() {
+                        log::info!(covered:% = covered, down_ms = since.elapsed().as_millis(); "store is available again");
                     }
                     (is_obsolete, retry_delay) = (false, MIN_RETRY_DELAY);
                     duty.record_answer();
@@ -177,13 +179,23 @@
                     duty.record_answer();
                 }
                 Err(SourceError::Unavailable(reason)) => {
-                    if !std::mem::replace(&mut unavailable, true) {
+                    let delay = retry_delay.mul_f64(rand::random_range(0.7..1.3));
+                    if unavailable_since.is_none() {
                         log::warn!(covered:% = covered, reason = reason; "store is unavailable");
                     }
+                    let since = *unavailable_since.get_or_insert(called_at);
+                    log::info!(
+                        covered:% = covered,
+                        listing = listing,
+                        reason = reason,
+                        waited_ms = called_at.elapsed().as_millis(),
+                        down_ms = since.elapsed().as_millis(),
+                        retry_ms = delay.as_millis();
+                        "call to the store failed"
+                    );
                     duty.record_failure();
                     self.with_replica(|replica| replica.note_failure(Instant::now()));
-                    let jitter = rand::random_range(0.7..1.3);
-                    time::sleep(retry_delay.mul_f64(jitter)).await;
+                    time::sleep(delay).await;
                     retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                 }
             }
