event: write the last lines before a process ends

Seen: a process that could not bind an address ended without its line `failed`; the last lines of a process were lost whenever it ended before the writing thread had run. Found while tracing an entry that did not start in a test. Change: the end of a process waits up to 200 ms for the lines so far. `entry_process::failure_reason_logged` failed before the change and passes with it.

--- a/crates/event/src/json_log.rs
+++ b/crates/event/src/json_log.rs
@@ -27,6 +27,8 @@
 /// Maximum number of lines written per [`RATE_WINDOW`], so that overload does not cause excessive
 /// logging.
 const MAX_LINES_PER_WINDOW: u64 = 400;
+/// Time for which the end of a process may be delayed to write its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Crates that log at the level from the settings; others log at most warnings.
 const CRATES: [&str; 6] = ["direct", "event", "fleet", "node", "platform", "steer"];
 /// Period over which written lines are counted.
@@ -64,16 +66,23 @@
         .start()
 }
 
+/// What the writing thread receives.
+enum Entry {
+    Line(Vec<u8>),
+    /// Asks for an acknowledgement once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 struct QueueWriter {
     process: SmolStr,
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<Entry>,
     dropped: Arc<AtomicU64>,
 }
 
 impl LogWriter for QueueWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let line = format_line(&self.process, now, record);
-        match self.sender.try_send(line) {
+        match self.sender.try_send(Entry::Line(line)) {
             Ok(()) => Ok(()),
             Err(TrySendError::Full(_)) => {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
@@ -83,8 +92,14 @@
         }
     }
 
+    /// Waits until the lines so far are written, at most [`FLUSH_TIMEOUT`].
     fn flush(&self) -> io::Result<()> {
-        Ok(())
+        let (done, is_done) = sync_channel(1);
+        let sent = self.sender.try_send(Entry::Flush(done));
+        sent.map_err(|_| io::Error::from(io::ErrorKind::WouldBlock))?;
+        is_done
+            .recv_timeout(FLUSH_TIMEOUT)
+            .map_err(|_| io::ErrorKind::TimedOut.into())
     }
 }
 
@@ -131,9 +146,17 @@
 }
 
 /// Writes lines until all senders are dropped, within the rate limit.
-fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, out: &mut dyn Write) {
+fn write_lines(entries: &Receiver<Entry>, dropped: &AtomicU64, out: &mut dyn Write) {
     let (mut window_start, mut written) = (Instant::now(), 0);
-    while let Ok(line) = lines.recv() {
+    while let Ok(entry) = entries.recv() {
+        let line = match entry {
+            Entry::Line(line) => line,
+            Entry::Flush(done) => {
+                // A writer that no longer waits has nothing to be told.
+                done.try_send(()).ok();
+                continue;
+            }
+        };
         if window_start.elapsed() >= RATE_WINDOW {
             (window_start, written) = (Instant::now(), 0);
         }
