fleet: notice the return of the store within the bound of the platform

What callers saw: 404 for a route and the effect of an older configuration up to 2.07 s after a newer one was confirmed, when the store was back from an outage (CONFIG). Cause: the timeout of a watch and the delay after it were sized as if the platform gave 3 s after an outage and 2 s for a change one after the other; they run side by side. Class: timeouts and back-offs that are each sized by their price, with no bound on their sum. Fix: `fleet::Pace` owns all limits of calls. After a failure, calls only ask whether the store answers; the back-off counts from the start of the failed call; one more call follows a first failure in any case; the election counts the time of the failed read. The worst case is 2.35 s. An adapter has no time limits of its own any more. After: recovered_store_noticed passes (it failed first); fleet `store_outage` plays 8 lengths and 40 phases of outages on a paused clock, at less than one call a second.

--- a/crates/direct/src/watching.rs
+++ b/crates/direct/src/watching.rs
@@ -92,7 +92,7 @@
         self.election().record_success(Instant::now());
     }
 
-    fn record_failure(&self) {
-        self.election().record_failure();
+    fn record_failure(&self, called_at: Instant) {
+        self.election().record_failure(called_at);
     }
 }
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -12,7 +12,7 @@
 
 use direct::{Listen, Protocol, Settings, metadata};
 use fault::{ErrorKind, Fault};
-use fleet::{Change, Content, Item, Page, Revision, Source, SourceError};
+use fleet::{Change, Content, Item, Page, Patience, Revision, Source, SourceError};
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, StatusCode, request, response};
 use smol_str::SmolStr;
@@ -84,12 +84,12 @@
 struct FixedStore(Mutex<Option<Page>>);
 
 impl Source for FixedStore {
-    fn list(&self) -> BoxFuture<'_, Result<Page, SourceError>> {
+    fn list(&self, _: Patience) -> BoxFuture<'_, Result<Page, SourceError>> {
         let page = self.0.lock().unwrap().take().unwrap_or_default();
         Box::pin(async move { Ok(page) })
     }
 
-    fn watch(&self, _: Revision) -> BoxFuture<'_, Result<Page, SourceError>> {
+    fn watch(&self, _: Revision, _: Patience) -> BoxFuture<'_, Result<Page, SourceError>> {
         Box::pin(std::future::pending())
     }
 }
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -1,3 +1,5 @@
+use tokio::time::Instant;
+
 /// Decides whether this process asks the store itself or learns of changes from other processes.
 pub trait Duty: Send + Sync {
     /// Returns whether this process asks the store now.
@@ -6,8 +8,8 @@
     /// Records that the store answered a call of this process.
     fn record_answer(&self);
 
-    /// Records that a call of this process failed.
-    fn record_failure(&self);
+    /// Records that a call of this process failed, which began at `called_at`.
+    fn record_failure(&self, called_at: Instant);
 }
 
 /// Duty of a process that always asks the store itself.
@@ -21,5 +23,5 @@
 
     fn record_answer(&self) {}
 
-    fn record_failure(&self) {}
+    fn record_failure(&self, _: Instant) {}
 }
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -1,5 +1,6 @@
 use std::{
     cmp::Ordering,
+    ops::Range,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -10,20 +11,16 @@
     time::{self, Instant},
 };
 
-use crate::{Duty, Page, Replica, Revision, Source, SourceError, Update, View};
+use crate::{Duty, Pace, Page, Replica, Revision, Source, SourceError, Update, View};
 
-/// Delay after the first failed call to the store; it doubles up to [`MAX_RETRY_DELAY`].
-///
-/// The store charges for every call, also for those that it refuses.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest delay after a failed call to the store, before jitter.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Delay after a page with changes, so that the next call returns all changes that follow closely.
 ///
 /// It is a fraction of two seconds, the platform's smallest limit for putting a change into force.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
 /// Interval at which a process that is not on duty checks whether it is now.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
+/// Factors of the delay after a failed call, from which each process draws its own.
+const JITTER: Range<f64> = 0.7..1.3;
 /// Time between two checks for lapsed endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -45,6 +42,16 @@
     }
 }
 
+/// Returns the name of a call's outcome in the metrics.
+const fn outcome(result: &Result<Page, SourceError>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(SourceError::Compacted) => "compacted",
+        Err(SourceError::Restored(_)) => "restored",
+        Err(SourceError::Unavailable(_)) => "unavailable",
+    }
+}
+
 /// Keeps a [`Replica`] up to date with the store and publishes its [`View`].
 ///
 /// Lock order: `replica` is the only lock and is never held across an await.
@@ -130,11 +137,10 @@
     /// Lists and watches the store while on duty; never returns.
     pub async fn run(self: Arc<Self>, source: Arc<dyn Source>, duty: Arc<dyn Duty>) {
         tokio::spawn(self.clone().expire());
-        let mut is_obsolete = false;
+        let (mut is_obsolete, mut pace) = (false, Pace::default());
         let mut unavailable_since: Option<Instant> = None;
-        let mut retry_delay = MIN_RETRY_DELAY;
         loop {
-            if !duty.is_on() {
+            if !pace.is_doubtful() && !duty.is_on() {
                 time::sleep(DUTY_INTERVAL).await;
                 continue;
             }
@@ -143,25 +149,22 @@
             let listing = is_obsolete || covered == Revision::default();
             let called_at = Instant::now();
             let result = if listing {
-                source.list().await
+                source.list(pace.listing()).await
             } else {
-                source.watch(covered).await
+                source.watch(covered, pace.watch()).await
             };
             let result = check_era(result, listing, covered);
-            let outcome = match &result {
-                Ok(_) => "ok",
-                Err(SourceError::Compacted) => "compacted",
-                Err(SourceError::Restored(_)) => "restored",
-                Err(SourceError::Unavailable(_)) => "unavailable",
-            };
-            self.calls.with_label_values(&[outcome]).inc();
+            self.calls.with_label_values(&[outcome(&result)]).inc();
+            if !matches!(result, Err(SourceError::Unavailable(_))) {
+                pace.record_answer();
+                duty.record_answer();
+                if let Some(since) = unavailable_since.take() {
+                    log::info!(covered:% = covered, down_ms = since.elapsed().as_millis(); "store is available again");
+                }
+            }
             match result {
                 Ok(page) => {
-                    if let Some(since) = unavailable_since.take() {
-                        log::info!(covered:% = covered, down_ms = since.elapsed().as_millis(); "store is available again");
-                    }
-                    (is_obsolete, retry_delay) = (false, MIN_RETRY_DELAY);
-                    duty.record_answer();
+                    is_obsolete = false;
                     let changed = !page.changes.is_empty();
                     self.apply(page, "store");
                     if changed {
@@ -171,15 +174,14 @@
                 Err(SourceError::Compacted) => {
                     log::info!(covered:% = covered; "store compacted its history; listing all items");
                     is_obsolete = true;
-                    duty.record_answer();
                 }
                 Err(SourceError::Restored(era)) => {
                     log::warn!(covered:% = covered, era = era; "store was restored from an older copy; listing all items");
                     is_obsolete = true;
-                    duty.record_answer();
                 }
                 Err(SourceError::Unavailable(reason)) => {
-                    let delay = retry_delay.mul_f64(rand::random_range(0.7..1.3));
+                    let age = called_at.elapsed();
+                    let delay = pace.record_failure(age).mul_f64(rand::random_range(JITTER));
                     if unavailable_since.is_none() {
                         log::warn!(covered:% = covered, reason = reason; "store is unavailable");
                     }
@@ -188,15 +190,14 @@
                         covered:% = covered,
                         listing = listing,
                         reason = reason,
-                        waited_ms = called_at.elapsed().as_millis(),
+                        waited_ms = age.as_millis(),
                         down_ms = since.elapsed().as_millis(),
                         retry_ms = delay.as_millis();
                         "call to the store failed"
                     );
-                    duty.record_failure();
+                    duty.record_failure(called_at);
                     self.with_replica(|replica| replica.note_failure(Instant::now()));
                     time::sleep(delay).await;
-                    retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                 }
             }
         }
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -2,7 +2,7 @@
 
 use futures::future::BoxFuture;
 
-use crate::{Page, Revision};
+use crate::{Page, Patience, Revision};
 
 /// Reason why a call to the store failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,12 +29,11 @@
 
 /// Read-only interface to the platform's store.
 pub trait Source: Send + Sync {
-    /// Returns all items of the store.
-    fn list(&self) -> BoxFuture<'_, Result<Page, Error>>;
+    /// Returns all items of the store; `patience` applies to each page.
+    fn list(&self, patience: Patience) -> BoxFuture<'_, Result<Page, Error>>;
 
-    /// Waits for changes after a revision; the page is empty if none occurs within the wait time of
-    /// the implementation.
+    /// Waits for changes after a revision; the page is empty if none occurs within the wait time.
     ///
     /// If the store has begun another era, the page is of that era and may lack changes.
-    fn watch(&self, after: Revision) -> BoxFuture<'_, Result<Page, Error>>;
+    fn watch(&self, after: Revision, patience: Patience) -> BoxFuture<'_, Result<Page, Error>>;
 }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,4 +5,5 @@
 mod store_duty;
 mod store_eras;
 mod store_follower;
+mod store_outage;
 mod support;
--- a/crates/fleet/tests/suite/store_duty.rs
+++ b/crates/fleet/tests/suite/store_duty.rs
@@ -32,7 +32,7 @@
         self.answers.fetch_add(1, Ordering::Relaxed);
     }
 
-    fn record_failure(&self) {
+    fn record_failure(&self, _: Instant) {
         self.failures.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/fleet/tests/suite/store_follower.rs
+++ b/crates/fleet/tests/suite/store_follower.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use fleet::{Always, Follower, Page, Revision, Source, SourceError, Stage};
+use fleet::{Always, Follower, Page, Patience, Revision, Source, SourceError, Stage};
 use futures::future::BoxFuture;
 use prometheus::Registry;
 use tokio::time;
@@ -43,11 +43,11 @@
 }
 
 impl Source for FakeStore {
-    fn list(&self) -> BoxFuture<'_, Result<Page, SourceError>> {
+    fn list(&self, _: Patience) -> BoxFuture<'_, Result<Page, SourceError>> {
         self.next("list".to_owned())
     }
 
-    fn watch(&self, after: Revision) -> BoxFuture<'_, Result<Page, SourceError>> {
+    fn watch(&self, after: Revision, _: Patience) -> BoxFuture<'_, Result<Page, SourceError>> {
         self.next(format!("watch {after}"))
     }
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -265,12 +265,13 @@
                 continue;
             }
             self.shared.metrics.count_read();
+            let started = Instant::now();
             let result = platform.read(self.position()).await;
             self.shared.last_read.send_replace(Some(result.is_ok()));
             match result {
                 Ok(page) => self.handle_answer(page.as_ref()),
                 Err(e) => {
-                    self.record_failure();
+                    self.record_failure(started);
                     log::warn!("{e:#}");
                     time::sleep(RETRY_DELAY).await;
                 }
@@ -278,11 +279,11 @@
         }
     }
 
-    fn record_failure(&self) {
+    fn record_failure(&self, started: Instant) {
         if let Ok(mut election) = self.shared.election.lock()
             && let Some(election) = election.as_mut()
         {
-            election.record_failure();
+            election.record_failure(started);
         }
     }
 
--- a/crates/peer/src/election.rs
+++ b/crates/peer/src/election.rs
@@ -41,7 +41,8 @@
     last_success: Instant,
     /// Whether the platform has answered since the process became a watcher.
     confirmed: bool,
-    last_read_failed: bool,
+    /// Start of the last read, if it failed.
+    failed_read: Option<Instant>,
     /// Time before which the process does not take over again.
     retry_at: Instant,
 }
@@ -64,7 +65,7 @@
             shortage_since: None,
             last_success: now,
             confirmed: false,
-            last_read_failed: false,
+            failed_read: None,
             retry_at: now,
         }
     }
@@ -93,12 +94,12 @@
         self.own.count += 1;
         self.last_success = now;
         self.confirmed = true;
-        self.last_read_failed = false;
+        self.failed_read = None;
     }
 
-    /// Records a read of this process that the platform did not answer.
-    pub const fn record_failure(&mut self) {
-        self.last_read_failed = true;
+    /// Records that the platform did not answer a read of this process, which began at `started`.
+    pub const fn record_failure(&mut self, started: Instant) {
+        self.failed_read = Some(started);
     }
 
     /// Returns whether this process watches the platform from now on.
@@ -122,11 +123,13 @@
             .filter(|w| rank(&w.process) < own_rank)
             .count();
         let failed =
-            !is_recent(self.last_success, now) || (self.last_read_failed && !self.confirmed);
+            !is_recent(self.last_success, now) || (self.failed_read.is_some() && !self.confirmed);
         if failed {
             let delay = RETRY_DELAY_PER_PROCESS * u32::try_from(processes).unwrap_or(u32::MAX);
             let (min, max) = RETRY_DELAY_BOUNDS;
-            self.retry_at = now + delay.clamp(min, max).mul_f64(0.5 + fraction(own_rank));
+            // The time that the read took counts, as the platform may have returned meanwhile.
+            self.retry_at = self.failed_read.unwrap_or(now)
+                + delay.clamp(min, max).mul_f64(0.5 + fraction(own_rank));
         }
         if preceding >= WATCHERS_PER_ZONE || failed {
             self.watching = false;
@@ -145,7 +148,7 @@
             self.watching = true;
             self.last_success = now;
             self.confirmed = false;
-            self.last_read_failed = false;
+            self.failed_read = None;
         }
     }
 
--- a/crates/peer/tests/suite/watcher_election.rs
+++ b/crates/peer/tests/suite/watcher_election.rs
@@ -42,7 +42,7 @@
                     match self.platform_reachable {
                         true => self.processes[i].record_success(now),
                         false => {
-                            self.processes[i].record_failure();
+                            self.processes[i].record_failure(now);
                             failed += 1;
                         }
                     }
