direct: ask several entries for changes until one responds

What callers saw: the effect of an older configuration for up to 4.22 s at entries that learn of changes from others, while other entries were paused (CONFIG). Cause: changes were fetched from one entry at random, with 1 s to connect and 1 s to respond, and then from one at random again. Class: as with the calls to the store, time limits without a bound on their sum. Fix: the entries that are ahead are asked in random order, one more each 300 ms, and the first response counts. Ruled out: shorter limits alone (large configurations take hundreds of milliseconds over the slowest links). `store_outage::paused_peers_passed_over` failed in 3 of 3 runs before (4.22 s, 3.12 s, 2.22 s) and passed in 4 of 4 after.

--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -8,7 +8,7 @@
 use anyhow::Context as _;
 use conf::id;
 use fleet::{Follower, Revision};
-use rand::seq::IteratorRandom as _;
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -46,6 +46,8 @@
 const MAX_STORE_LAG: Duration = Duration::from_millis(150);
 /// Time between two fetches, so that one returns all changes that follow closely.
 const FETCH_PAUSE: Duration = Duration::from_millis(200);
+/// Maximum number of entries that are asked for the same changes.
+const MAX_ASKED: usize = 8;
 /// Number of entry addresses in one message; they are chosen at random.
 const MAX_ADDRESSES: usize = 4;
 /// Number up to which seeds are learned from messages.
@@ -379,40 +381,37 @@
         loop {
             ticks.tick().await;
             let (covered, ..) = self.follower.position();
-            let Some((process, address)) = self.choose_ahead(covered) else {
+            let ahead = self.entries_ahead(covered);
+            if ahead.is_empty() {
                 behind_since = None;
                 continue;
-            };
+            }
             let since = *behind_since.get_or_insert_with(Instant::now);
             if self.watching.is_watching() && since.elapsed() < MAX_STORE_LAG {
                 continue;
             }
-            match sync::fetch(address, covered).await {
-                Ok(page) => {
-                    self.follower.apply(page, &process);
-                    self.watching.record_page();
-                    time::sleep(FETCH_PAUSE).await;
-                }
-                Err(e) => {
-                    log::info!(peer:% = process, reason:% = format!("{e:#}"); "changes cannot be fetched from another entry")
-                }
+            if let Some((process, page)) = sync::fetch_first(ahead, covered).await {
+                self.follower.apply(page, &process);
+                self.watching.record_page();
+                time::sleep(FETCH_PAUSE).await;
             }
         }
     }
 
-    /// Chooses a random entry that knows a newer revision than `covered`, in the own zone if one does:
+    /// Lists entries that know a newer revision than `covered` in random order, those of the own zone first:
     /// traffic between zones is billed.
-    fn choose_ahead(&self, covered: Revision) -> Option<(id::Process, SocketAddr)> {
+    fn entries_ahead(&self, covered: Revision) -> Vec<(id::Process, SocketAddr)> {
         let members = lock(&self.members);
-        let ahead = || {
-            members
-                .values()
-                .filter(|member| member.newest_revision > covered)
-        };
-        let random = &mut rand::rng();
-        let near = ahead().filter(|member| member.zone == self.zone);
-        let chosen = near.choose(random).or_else(|| ahead().choose(random))?;
-        Some((chosen.process.clone(), chosen.sync_address))
+        let mut ahead: Vec<&Member> = members
+            .values()
+            .filter(|member| member.newest_revision > covered)
+            .collect();
+        ahead.shuffle(&mut rand::rng());
+        ahead.sort_by_key(|member| member.zone != self.zone);
+        let entries = ahead.into_iter().take(MAX_ASKED);
+        entries
+            .map(|member| (member.process.clone(), member.sync_address))
+            .collect()
     }
 }
 
