direct: refuse prompt parts under which endpoints crash

What callers saw: drafts refused, late or cut for half a minute (BUDGET), as engine after engine ended under requests that have one part of their prompts in common; in a group each crash stops all ranks for seconds. Cause: a request that crashes endpoints was known by its team, path and body only, so that each new request with the part reached up to two more engines. Class: one identity for a fault that may lie in a part of what was identified. Ruled out: late or forgotten reports of other entries (each request was new to all), retries as the main cause (they add one crash a request at most). Fix: `direct::Blame`, a table without input or output, counts crashes for each shared part. An answer written to a part, anywhere in the last 10 s, clears it, so that what sound requests share is not refused. Three crashes suffice; entries tell each other.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Admission, Bounds, Budget, Demand, Departures, Health, Load, Loads, Pauses, Stalls, Suspects,
-    cold,
+    Admission, Blame, Bounds, Budget, Demand, Departures, Health, Load, Loads, News, Part, Pauses,
+    Stalls, Suspects, Verdict, cold,
     departures::Incarnation,
     suspects::{CrashId, Fingerprint},
     window::STARTUP_ENTRIES,
@@ -70,6 +70,8 @@
     pub prompt_tokens: u32,
     /// Hash that is the same for all attempts of the request.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: &'a [Part],
     /// Endpoints that are not to be chosen, since they were tried before.
     pub excluded: &'a [id::Endpoint],
     /// Whether the request was sent to an endpoint before; retries use up the budget.
@@ -142,6 +144,7 @@
     cold: cold::Limiter,
     budget: Budget,
     suspects: Suspects,
+    blame: Blame,
     stalls: Stalls,
     groups: group::Directory,
     random: SmallRng,
@@ -173,6 +176,7 @@
             cold: cold::Limiter::new(seed),
             budget,
             suspects: Suspects::default(),
+            blame: Blame::default(),
             stalls: Stalls::default(),
             groups: group::Directory::default(),
             random: SmallRng::seed_from_u64(seed),
@@ -191,6 +195,10 @@
         if !self.suspects.allows(attempt.fingerprint, now) {
             return Err(ErrorKind::Suspect.into());
         }
+        if let Some(part) = self.blame.find_refused(attempt.shared_parts, now) {
+            let detail = format!("endpoints crash under prompt part {part}");
+            return Err(Fault::new(ErrorKind::Suspect).detail(detail));
+        }
         let Some(mut placement) = self.find_best(view, attempt, now)? else {
             return Err(self
                 .fail_unavailable(ErrorKind::NoEndpoint, attempt)
@@ -407,10 +415,15 @@
             }
             Outcome::Failed => self.health.record_error(id),
             Outcome::Misdirected => {
+                self.blame.record_end(id, placement.incarnation, now);
                 self.health.record_missing(id, now);
                 return true;
             }
-            Outcome::Unreached | Outcome::Broke => {
+            Outcome::Unreached => {
+                self.blame.record_end(id, placement.incarnation, now);
+                return self.health.record_connection_failure(id, now);
+            }
+            Outcome::Broke => {
                 return self.health.record_connection_failure(id, now);
             }
             Outcome::Declined => self.health.record_declined(id, now),
@@ -431,9 +444,33 @@
         self.pauses.record(&placement.endpoint, pause, now);
     }
 
-    /// Records that a connection broke while an endpoint ran a request.
-    pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: CrashId, now: Instant) {
+    /// Records that a connection broke before an endpoint had written an answer.
+    pub fn record_break(
+        &mut self,
+        placement: &Placement,
+        fingerprint: Fingerprint,
+        shared_parts: &[Part],
+        now: Instant,
+    ) {
+        let crash = self.random.random();
         self.suspects.record_crash(fingerprint, crash, now);
+        let Placement {
+            endpoint,
+            incarnation,
+            ..
+        } = placement;
+        self.blame
+            .record_break(endpoint, *incarnation, shared_parts, now);
+    }
+
+    /// Records that an endpoint writes an answer to a request with these parts in its prompt.
+    pub fn record_sound(&mut self, shared_parts: &[Part], now: Instant) {
+        self.blame.record_sound(shared_parts, now);
+    }
+
+    /// Returns the prompt parts that are refused, or no longer, since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<Verdict> {
+        self.blame.take_verdicts()
     }
 
     /// Records that an endpoint's group is stalled by the loss of the rank `at_fault`, an endpoint id or
@@ -449,19 +486,18 @@
             .endpoints
             .get(endpoint)
             .map(|known| known.endpoint.address);
-        if declined.is_some_and(|engine| self.groups.record_declined(engine, now)) {
-            return;
-        }
         let matches = |(id, known): &(&id::Endpoint, &Registration)| {
             id.as_str() == at_fault || known.endpoint.address.to_string() == at_fault
         };
-        let found = view
-            .endpoints
-            .iter()
-            .find(matches)
-            .map(|(id, _)| id.clone());
+        let found = view.endpoints.iter().find(matches);
+        if let Some((id, known)) = found {
+            self.blame.record_end(id, known.endpoint.started_ms, now);
+        }
+        if declined.is_some_and(|engine| self.groups.record_declined(engine, now)) {
+            return;
+        }
         // The lost rank may already be unknown; the endpoint that declined is still known.
-        let lost = found.unwrap_or_else(|| endpoint.clone());
+        let lost = found.map_or_else(|| endpoint.clone(), |(id, _)| id.clone());
         self.stalls.record_declined(endpoint, &lost, now);
     }
 
@@ -472,6 +508,13 @@
             let registration = view.endpoints.get(id);
             registration.is_some_and(|registration| registration.cold_until > now)
         };
+        for (id, incarnation) in self.blame.doubtful_endpoints() {
+            let registration = view.endpoints.get(&id);
+            if registration.is_none_or(|r| r.endpoint.started_ms != incarnation) {
+                self.blame.record_end(&id, incarnation, now);
+            }
+        }
+        self.blame.expire(now);
         self.loads.retain(known);
         self.health.retain(known);
         self.cold.retain(is_cold);
@@ -567,6 +610,27 @@
         self.health.record_reported_missing(endpoint, now);
     }
 
+    /// Returns what other entries need to know of prompt parts under which endpoints crash.
+    #[must_use]
+    pub fn part_news(&self, now: Instant) -> News {
+        self.blame.news(now)
+    }
+
+    /// Applies what another entry tells of prompt parts under which endpoints crash.
+    pub fn merge_part_news(&mut self, news: &News, now: Instant) {
+        self.blame.merge(news, now);
+    }
+
+    /// Records a crash that another entry reported.
+    pub fn record_reported_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: CrashId,
+        now: Instant,
+    ) {
+        self.suspects.record_crash(fingerprint, crash, now);
+    }
+
     /// Lists the crashes that were recorded within the last `span`.
     #[must_use]
     pub fn recent_crashes(&self, span: Duration, now: Instant) -> Vec<(Fingerprint, CrashId)> {
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -302,6 +302,7 @@
             service: &self.service,
             prompt_tokens: self.request.prompt_tokens,
             fingerprint: self.fingerprint,
+            shared_parts: &self.request.shared_parts,
             excluded: &self.tried,
             connected: &connected,
             is_retry: !self.tried.is_empty(),
@@ -368,7 +369,7 @@
             Ok(Err(Error::MaybeRun(reason))) => {
                 self.possible_runs += 1;
                 self.log_outcome(&dispatch, "broke before its answer", &reason);
-                self.record_crash();
+                self.record_break(&dispatch);
                 dispatch.end(Outcome::Broke);
                 Disposition::Unknown(reason.into())
             }
@@ -487,6 +488,11 @@
             .pool
             .put(connection, pool::keep_alive(&head.headers));
         let failed = head.status.is_server_error();
+        if !failed {
+            let parts = &self.request.shared_parts;
+            self.context
+                .with_balancer(|balancer| balancer.record_sound(parts, Instant::now()));
+        }
         self.log_outcome(
             &dispatch,
             if failed { "failed" } else { "answered" },
@@ -521,8 +527,8 @@
             Ok(Ok(first)) => first,
             Ok(Err(reason)) => {
                 self.log_outcome(upstream.dispatch(), "broke before its first event", &reason);
+                self.record_break(upstream.dispatch());
                 upstream.abort(Outcome::Broke);
-                self.record_crash();
                 return Disposition::Unknown(reason.into());
             }
             Err(_) => {
@@ -557,12 +563,9 @@
 
 /// # Helpers
 impl Call {
-    /// Records that a connection broke while an endpoint ran the request.
-    fn record_crash(&self) {
-        let crash = rand::random();
-        self.context.with_balancer(|balancer| {
-            balancer.record_crash(self.fingerprint, crash, Instant::now())
-        });
+    /// Records that a connection broke before the endpoint had written an answer.
+    fn record_break(&self, dispatch: &Dispatch) {
+        record_break(&self.context, &self.request, self.fingerprint, dispatch);
     }
 
     fn time_left(&self) -> Duration {
@@ -615,6 +618,30 @@
     }
 }
 
+/// Records and logs that a connection broke before an endpoint had written an answer to a request.
+pub(crate) fn record_break(
+    context: &Context,
+    request: &metadata::Request,
+    fingerprint: Fingerprint,
+    dispatch: &Dispatch,
+) {
+    let placement = &dispatch.placement;
+    log::info!(
+        request:% = request.id,
+        endpoint:% = placement.endpoint,
+        parts:% = request.shared_parts.join(",");
+        "connection broke before an answer"
+    );
+    context.with_balancer(|balancer| {
+        balancer.record_break(
+            placement,
+            fingerprint,
+            &request.shared_parts,
+            Instant::now(),
+        );
+    });
+}
+
 fn configuration(context: &Context) -> Result<Arc<Configuration>, Fault> {
     let view = context.view.borrow();
     view.configuration
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -17,7 +17,7 @@
 use wire::Watcher;
 
 use crate::{
-    Incarnation, Load, Settings,
+    Balancer, Incarnation, Load, News, Settings, Verdict,
     call::Context,
     suspects::{CrashId, Fingerprint},
     sync,
@@ -85,6 +85,9 @@
     /// Gossip addresses of other entries that the sender knows.
     #[serde(rename = "known")]
     members: Vec<SocketAddr>,
+    /// Prompt parts under which endpoints crash.
+    #[serde(default)]
+    parts: News,
 }
 
 /// Another entry from which messages come in.
@@ -167,6 +170,7 @@
             ticks.tick().await;
             let now = Instant::now();
             self.remove_lost(now);
+            self.log_verdicts();
             let loads = self
                 .context
                 .with_balancer(|balancer| balancer.local_loads());
@@ -242,6 +246,9 @@
                 .context
                 .with_balancer(|balancer| balancer.recent_departures(MAX_DEPARTURES, now)),
             members: self.sample(MAX_ADDRESSES),
+            parts: self
+                .context
+                .with_balancer(|balancer| balancer.part_news(now)),
         };
         let (near, far) = self.split_by_zone(targets);
         self.send_to(&message, &far).await;
@@ -323,8 +330,9 @@
                 balancer.record_reported_missing(endpoint, now);
             }
             for (fingerprint, crash) in message.crashes {
-                balancer.record_crash(fingerprint, crash, now);
+                balancer.record_reported_crash(fingerprint, crash, now);
             }
+            balancer.merge_part_news(&message.parts, now);
             for (endpoint, incarnation) in message.leaving {
                 if balancer.record_reported_departure(&endpoint, incarnation, now) {
                     log::info!(endpoint:% = endpoint, peer:% = message.process; "endpoint is leaving");
@@ -341,6 +349,19 @@
         seeds.extend(unknown.take(capacity).collect::<Vec<_>>());
     }
 
+    /// Logs which prompt parts are refused, or no longer, since the last call.
+    fn log_verdicts(&self) {
+        let verdicts = self.context.with_balancer(Balancer::take_verdicts);
+        for verdict in verdicts {
+            match verdict {
+                Verdict::Refused(part) => {
+                    log::warn!(part:% = part; "prompt part is refused: endpoints crash under it");
+                }
+                Verdict::Sound(part) => log::info!(part:% = part; "prompt part is sound"),
+            }
+        }
+    }
+
     fn remove_lost(&self, now: Instant) {
         let mut lost = Vec::new();
         let count = {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod balancer;
+mod blame;
 mod body;
 mod budget;
 mod call;
@@ -38,6 +39,7 @@
 
 pub use admission::{Admission, Demand};
 pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
+pub use blame::{Blame, Crash, News, Part, Refusal, Verdict};
 pub use budget::Budget;
 pub use departures::{Departures, Incarnation};
 pub use health::Health;
--- a/crates/direct/src/metadata.rs
+++ b/crates/direct/src/metadata.rs
@@ -6,6 +6,8 @@
 use conf::id;
 use smol_str::SmolStr;
 
+use crate::Part;
+
 /// Metadata of a client request, decoded from its headers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Request {
@@ -21,6 +23,9 @@
     pub prompt_tokens: u32,
     /// Largest length of the generated text, in tokens.
     pub max_tokens: u32,
+    /// Parts of the prompt that other requests may share, in order; without the last part, which is the
+    /// request's own.
+    pub shared_parts: Vec<Part>,
 }
 
 /// Metadata that is added to a request before it is sent to an endpoint.
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -56,6 +56,7 @@
                 service: &self.service,
                 prompt_tokens: self.request.prompt_tokens,
                 fingerprint: self.fingerprint,
+                shared_parts: &self.request.shared_parts,
                 excluded: &self.tried,
                 connected: &connected,
                 is_retry: true,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -10,7 +10,7 @@
 use crate::{
     Outcome,
     body::Body,
-    call::millis,
+    call::{millis, record_break},
     dispatch::{Dispatch, log_outcome},
     events::Splitter,
     pool::{self, Connection, keep_alive},
@@ -106,6 +106,8 @@
     resumption: Resumption,
     upstream: Option<Upstream>,
     first: Option<Bytes>,
+    /// Whether the current endpoint has written more than the first events.
+    is_sound: bool,
     ended: bool,
 }
 
@@ -116,6 +118,7 @@
             resumption: self,
             upstream: Some(upstream),
             first: Some(first),
+            is_sound: false,
             ended: false,
         };
         let frames = stream::unfold(downstream, |mut downstream| async move {
@@ -147,7 +150,10 @@
                         self.finish();
                         return None;
                     }
-                    Ok(Ok(bytes)) => return Some(Ok(bytes)),
+                    Ok(Ok(bytes)) => {
+                        self.record_sound();
+                        return Some(Ok(bytes));
+                    }
                     Ok(Err(reason)) => reason,
                     Err(_) => return Some(Err(self.abort("deadline passed during the stream"))),
                 };
@@ -164,13 +170,35 @@
         };
         let last_id = broken.last_id;
         self.log_outcome(&broken, "broke amid its stream", reason);
+        if !std::mem::take(&mut self.is_sound) {
+            let resumption = &self.resumption;
+            record_break(
+                &resumption.context,
+                &resumption.request,
+                resumption.fingerprint,
+                &broken.dispatch,
+            );
+        }
         broken.abort(Outcome::Broke);
         self.upstream = self.resumption.resume(last_id).await;
         self.upstream.is_some()
     }
 
+    /// Records that the endpoint goes on with its answer after the first events.
+    fn record_sound(&mut self) {
+        if !std::mem::replace(&mut self.is_sound, true) {
+            let Resumption {
+                context, request, ..
+            } = &self.resumption;
+            context.with_balancer(|balancer| {
+                balancer.record_sound(&request.shared_parts, Instant::now());
+            });
+        }
+    }
+
     fn finish(&mut self) {
         self.ended = true;
+        self.record_sound();
         let Some(upstream) = self.upstream.take() else {
             return;
         };
--- /dev/null
+++ b/crates/direct/tests/suite/prompt_parts.rs
@@ -0,0 +1,227 @@
+use std::time::Duration;
+
+use direct::{Blame, Outcome, Part, Verdict};
+use fault::{ErrorKind, Run};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use tokio::time::{self, Instant};
+
+use crate::support::{attempt, balancer, view};
+
+/// Time between two crashes of a group that forms again after each.
+const CRASH_INTERVAL: Duration = Duration::from_secs(4);
+
+fn parts(ids: &[&str]) -> Vec<Part> {
+    ids.iter().map(Part::new).collect()
+}
+
+fn is_refused(blame: &Blame, part: &str) -> bool {
+    let refused = parts(&[part]);
+    blame.find_refused(&refused, Instant::now()).is_some()
+}
+
+/// Lets endpoint `number` end under a request with these parts.
+fn crash(blame: &mut Blame, number: u64, ids: &[&str]) {
+    let endpoint = format!("e{number}").into();
+    blame.record_break(&endpoint, number, &parts(ids), Instant::now());
+    blame.record_end(&endpoint, number, Instant::now());
+}
+
+#[tokio::test(start_paused = true)]
+async fn third_crash_refuses() {
+    let mut blame = Blame::default();
+    for number in 0..3 {
+        assert!(!is_refused(&blame, "bad"), "{number}");
+        crash(&mut blame, number, &["bad"]);
+        time::advance(CRASH_INTERVAL).await;
+        blame.expire(Instant::now());
+    }
+    assert!(is_refused(&blame, "bad"));
+    assert!(!is_refused(&blame, "other"));
+    assert_eq!(blame.take_verdicts(), [Verdict::Refused("bad".into())]);
+    time::advance(Duration::from_secs(601)).await;
+    assert!(!is_refused(&blame, "bad"), "it gets another try");
+}
+
+/// Guards against refusing what sound requests share with those that crash endpoints (LOST).
+#[tokio::test(start_paused = true)]
+async fn shared_part_stays_in_use() {
+    let mut blame = Blame::default();
+    for number in 0..5 {
+        blame.record_sound(&parts(&["system", "session"]), Instant::now());
+        time::advance(CRASH_INTERVAL).await;
+        crash(&mut blame, number, &["system", "session", "bad"]);
+    }
+    assert!(is_refused(&blame, "bad"));
+    assert!(!is_refused(&blame, "system") && !is_refused(&blame, "session"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_lifts_refusal() {
+    let mut blame = Blame::default();
+    for number in 0..3 {
+        crash(&mut blame, number, &["rare", "bad"]);
+        time::advance(CRASH_INTERVAL).await;
+    }
+    assert!(is_refused(&blame, "rare"));
+    blame.record_sound(&parts(&["rare"]), Instant::now());
+    assert!(!is_refused(&blame, "rare") && is_refused(&blame, "bad"));
+    let verdicts = blame.take_verdicts();
+    assert!(
+        verdicts.contains(&Verdict::Sound("rare".into())),
+        "{verdicts:?}"
+    );
+}
+
+/// A loss of power or a cut ends many endpoints together, under whatever they run.
+#[tokio::test(start_paused = true)]
+async fn common_end_counts_once() {
+    let mut blame = Blame::default();
+    for number in 0..12 {
+        crash(&mut blame, number, &["hot"]);
+        time::advance(Duration::from_millis(10)).await;
+    }
+    assert!(!is_refused(&blame, "hot"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn broken_connection_not_blamed() {
+    let mut blame = Blame::default();
+    for number in 0..9 {
+        let endpoint = format!("e{number}").into();
+        blame.record_break(&endpoint, 1, &parts(&["hot"]), Instant::now());
+        time::advance(Duration::from_secs(6)).await;
+        blame.expire(Instant::now());
+        blame.record_end(&endpoint, 1, Instant::now());
+    }
+    assert!(
+        !is_refused(&blame, "hot"),
+        "the endpoints ended for another reason"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn crash_known_to_several_counts_once() {
+    let (mut one, mut other) = (Blame::default(), Blame::default());
+    for number in 0..2 {
+        crash(&mut one, number, &["bad"]);
+        crash(&mut other, number, &["bad"]);
+        time::advance(Duration::from_millis(300)).await;
+        one.merge(&other.news(Instant::now()), Instant::now());
+        other.merge(&one.news(Instant::now()), Instant::now());
+    }
+    assert!(!is_refused(&one, "bad") && !is_refused(&other, "bad"));
+    crash(&mut one, 2, &["bad"]);
+    other.merge(&one.news(Instant::now()), Instant::now());
+    assert!(is_refused(&one, "bad") && is_refused(&other, "bad"));
+}
+
+/// An entry that has restarted learns what is refused, and for how long.
+#[tokio::test(start_paused = true)]
+async fn refusal_learned() {
+    let mut known = Blame::default();
+    for number in 0..3 {
+        crash(&mut known, number, &["bad"]);
+        time::advance(CRASH_INTERVAL).await;
+    }
+    time::advance(Duration::from_secs(300)).await;
+    let mut restarted = Blame::default();
+    restarted.merge(&known.news(Instant::now()), Instant::now());
+    assert!(is_refused(&restarted, "bad"));
+    time::advance(Duration::from_secs(300)).await;
+    known.expire(Instant::now());
+    known.merge(&restarted.news(Instant::now()), Instant::now());
+    assert!(!is_refused(&known, "bad"), "it is not refused for ever");
+}
+
+#[tokio::test(start_paused = true)]
+async fn sound_part_rebutted() {
+    let (mut knowing, mut misled) = (Blame::default(), Blame::default());
+    for number in 0..3 {
+        crash(&mut misled, number, &["rare"]);
+        time::advance(CRASH_INTERVAL).await;
+    }
+    knowing.record_sound(&parts(&["rare"]), Instant::now());
+    knowing.merge(&misled.news(Instant::now()), Instant::now());
+    assert!(!is_refused(&knowing, "rare"));
+    misled.merge(&knowing.news(Instant::now()), Instant::now());
+    assert!(!is_refused(&misled, "rare"));
+}
+
+/// Load pattern: one request in 20 has a part that crashes the engine which begins it, the group stands still for
+/// seconds after each, and all requests share the first part and one of five sessions. Seven entries
+/// exchange news each 300 ms.
+#[tokio::test(start_paused = true)]
+async fn crash_series_ends() {
+    for seed in 0..20 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut entries = vec![Blame::default(); 7];
+        let (mut crashes, mut refused, mut served) = (0, 0, 0);
+        let mut group_down_until = Instant::now();
+        for step in 0..2000_u64 {
+            time::advance(Duration::from_millis(20)).await;
+            let now = Instant::now();
+            if step % 15 == 0 {
+                let news: Vec<_> = entries.iter().map(|entry| entry.news(now)).collect();
+                for entry in &mut entries {
+                    news.iter().for_each(|news| entry.merge(news, now));
+                    entry.expire(now);
+                }
+            }
+            let entry = random.random_range(0..entries.len());
+            let is_bad = random.random_bool(0.05);
+            let session = format!("session{}", random.random_range(0..5));
+            let mut request = parts(&["system", &session]);
+            if is_bad {
+                request.push("bad".into());
+            }
+            if now < group_down_until {
+                continue;
+            }
+            if entries[entry].find_refused(&request, now).is_some() {
+                refused += u32::from(!is_bad);
+            } else if is_bad {
+                let endpoint = format!("e{crashes}").into();
+                entries[entry].record_break(&endpoint, 1, &request, now);
+                entries[entry].record_end(&endpoint, 1, now);
+                crashes += 1;
+                group_down_until = now + CRASH_INTERVAL;
+            } else {
+                entries[entry].record_sound(&request, now);
+                served += 1;
+            }
+        }
+        assert!(crashes <= 4, "seed {seed}: {crashes} crashes");
+        assert!(
+            refused * 10 <= served,
+            "seed {seed}: {refused} refused, {served} served"
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_request_unsent() {
+    let (mut balancer, view, service) = (balancer(), view(6), "drafts".into());
+    let shared_parts = parts(&["system", "bad"]);
+    let mut suspicious = attempt(&service);
+    suspicious.shared_parts = &shared_parts;
+    for request in 0..3 {
+        suspicious.fingerprint = request;
+        let placement = balancer.choose(&view, &suspicious, Instant::now()).unwrap();
+        balancer.record_break(&placement, request, &shared_parts, Instant::now());
+        balancer.record_outcome(&placement, Outcome::Broke, Instant::now());
+        // The endpoint named as lost by another one of its group.
+        let (lost, now) = (placement.endpoint.to_string(), Instant::now());
+        balancer.record_stall(&view, &"e5".into(), &lost, now);
+        time::advance(CRASH_INTERVAL).await;
+        balancer.record_sound(&parts(&["system"]), Instant::now());
+    }
+    suspicious.fingerprint = 3;
+    let fault = balancer
+        .choose(&view, &suspicious, Instant::now())
+        .unwrap_err();
+    assert_eq!((fault.kind(), fault.run()), (ErrorKind::Suspect, Run::No));
+    let mut sound = attempt(&service);
+    let system = parts(&["system"]);
+    sound.shared_parts = &system;
+    assert!(balancer.choose(&view, &sound, Instant::now()).is_ok());
+}
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -140,6 +140,7 @@
     Attempt {
         service,
         prompt_tokens: 100,
+        shared_parts: &[],
         fingerprint: 1,
         excluded: &[],
         connected: NO_CONNECTIONS.get_or_init(HashSet::new),
