--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -490,7 +490,8 @@
             id.as_str() == at_fault || known.endpoint.address.to_string() == at_fault
         };
         let found = view.endpoints.iter().find(matches);
-        if let Some((id, known)) = found {
+        // An endpoint that declines may name itself, although another one has ended.
+        if let Some((id, known)) = found.filter(|(id, _)| *id != endpoint) {
             self.blame.record_end(id, known.endpoint.started_ms, now);
         }
         if declined.is_some_and(|engine| self.groups.record_declined(engine, now)) {
--- a/crates/direct/tests/suite/prompt_parts.rs
+++ b/crates/direct/tests/suite/prompt_parts.rs
@@ -198,6 +198,29 @@
     }
 }
 
+/// Guards against blaming what ran on the sound engines of a group that has lost another one.
+#[tokio::test(start_paused = true)]
+async fn stalled_engines_not_ended() {
+    let (mut balancer, view, service) = (balancer(), view(6), "drafts".into());
+    let shared_parts = parts(&["rare"]);
+    let mut request = attempt(&service);
+    request.shared_parts = &shared_parts;
+    for fingerprint in 0..4 {
+        request.fingerprint = fingerprint;
+        let now = Instant::now();
+        let placement = balancer.choose(&view, &request, now).unwrap();
+        balancer.record_break(&placement, fingerprint, &shared_parts, now);
+        balancer.record_outcome(&placement, Outcome::Broke, now);
+        let endpoint = &placement.endpoint;
+        balancer.record_stall(&view, endpoint, endpoint, now);
+        time::advance(CRASH_INTERVAL).await;
+        balancer.retain_known(&view, Instant::now());
+    }
+    request.fingerprint = 9;
+    let choice = balancer.choose(&view, &request, Instant::now());
+    assert!(choice.is_ok(), "{choice:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn refused_request_unsent() {
     let (mut balancer, view, service) = (balancer(), view(6), "drafts".into());
