direct: do not take a stream without a length and without an event for complete

Cause: the end of the connection before the first event counted as the end of the stream. Ruled out by tests that passed at once: such a stream that is whole, and one that breaks inside an event. Fix: without an event, such a stream is broken off, and goes to another endpoint. `end_to_end::empty_stream_retried` failed before.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::response;
+use http::{header, response};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::time::{self, Instant};
@@ -24,6 +24,10 @@
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     splitter: Splitter,
+    /// Whether the stream has neither a length nor chunks, so that its end and its loss look alike.
+    is_unframed: bool,
+    /// Whether a complete event was received.
+    has_event: bool,
     /// Id of the last event that was passed on to the client.
     last_id: Option<u64>,
 }
@@ -43,6 +47,9 @@
             connection: Some(connection),
             keep_alive: keep_alive(&head.headers),
             splitter: Splitter::default(),
+            is_unframed: !head.headers.contains_key(header::CONTENT_LENGTH)
+                && !head.headers.contains_key(header::TRANSFER_ENCODING),
+            has_event: false,
             last_id,
         }
     }
@@ -70,6 +77,9 @@
     pub(crate) async fn next_events(&mut self) -> Result<Bytes, String> {
         loop {
             match self.body.frame().await {
+                None if self.is_unframed && !self.has_event => {
+                    return Err("ended without an event".to_owned());
+                }
                 None if self.splitter.is_empty() => return Ok(Bytes::new()),
                 None => return Err("ended amid an event".to_owned()),
                 Some(Err(e)) => return Err(pool::format_error(&e)),
@@ -83,6 +93,7 @@
                         return Err("an event is longer than allowed".to_owned());
                     }
                     let batch = self.splitter.take_events(self.last_id);
+                    self.has_event |= batch.count > 0;
                     self.last_id = batch.last_id.or(self.last_id);
                     if !batch.bytes.is_empty() {
                         return Ok(batch.bytes);
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -463,6 +463,83 @@
     assert!(response.ends_with("0\r\n\r\n"), "{response}");
 }
 
+/// Returns a stream's head without a length or chunks; the stream ends with its connection.
+fn unframed_head(request: &str) -> Action {
+    let id = header(request, "id").unwrap();
+    Action::Write(format!(
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: yes\r\n\r\n"
+    ))
+}
+
+fn unframed_event(id: u32) -> Action {
+    Action::Write(format!("id: {id}\ndata: x\n\n"))
+}
+
+/// Returns the ids of the events in a response.
+fn event_ids(response: &str) -> Vec<&str> {
+    let (_, body) = response.split_once("\r\n\r\n").unwrap_or_default();
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_delivered() {
+    let script = |r: &str| {
+        vec![
+            unframed_head(r),
+            unframed_event(1),
+            unframed_event(2),
+            Action::Close,
+        ]
+    };
+    let endpoint = TestEndpoint::start(Arc::new(script)).await;
+    let entry = start_entry("drafts", &[&endpoint]).await;
+    let response = call(entry, DRAFT).await;
+    assert_eq!(event_ids(&response), ["1", "2"], "{response}");
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+}
+
+/// Guards against a stream without a length that breaks inside an event and is taken for complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_resumed() {
+    let script = |r: &str| match header(r, "last") {
+        None => vec![
+            unframed_head(r),
+            unframed_event(1),
+            Action::Write("id: 2\nda".to_owned()),
+            Action::Close,
+        ],
+        Some(_) => vec![unframed_head(r), unframed_event(2), Action::Close],
+    };
+    let endpoints = [
+        TestEndpoint::start(Arc::new(script)).await,
+        TestEndpoint::start(Arc::new(script)).await,
+    ];
+    let entry = start_entry("drafts", &[&endpoints[0], &endpoints[1]]).await;
+    let response = call(entry, DRAFT).await;
+    assert_eq!(event_ids(&response), ["1", "2"], "{response}");
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+}
+
+/// Guards against an endpoint that ends before the first event, and whose stream without a length is taken for
+/// a complete one (ORDER).
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_stream_retried() {
+    let count = AtomicU16::new(0);
+    let script = move |r: &str| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => vec![unframed_head(r), Action::Close],
+        _ => vec![stream_head(r), event(1), stream_end()],
+    };
+    let script: Script = Arc::new(script);
+    let endpoints = [
+        TestEndpoint::start(script.clone()).await,
+        TestEndpoint::start(script).await,
+    ];
+    let entry = start_entry("drafts", &[&endpoints[0], &endpoints[1]]).await;
+    let response = call(entry, DRAFT).await;
+    assert_eq!(event_ids(&response), ["1"], "{response}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn aborted_stream_incomplete() {
     let script = |r: &str| vec![stream_head(r), event(1), Action::Close];
