direct: keep the sum of the load reports instead of adding them up at each choice

Cause: a choice looked up each endpoint in the reports of all entries, entries x endpoints look-ups (docs/CAPACITY.md). Change: the sum for each endpoint is kept as reports come in, are replaced and become too old.

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -25,8 +25,15 @@
 impl Load {
     const fn plus(self, other: Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
-            pending_tokens: self.pending_tokens + other.pending_tokens,
+            requests: self.requests.saturating_add(other.requests),
+            pending_tokens: self.pending_tokens.saturating_add(other.pending_tokens),
+        }
+    }
+
+    const fn minus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            pending_tokens: self.pending_tokens.saturating_sub(other.pending_tokens),
         }
     }
 }
@@ -38,21 +45,23 @@
     /// Time at which a request of this entry last made progress at the endpoint.
     last_progress: HashMap<id::Endpoint, Instant>,
     /// Newest report of each other entry and the time at which it came in.
-    reports: HashMap<id::Process, (Instant, HashMap<id::Endpoint, Load>)>,
+    reports: HashMap<id::Process, Report>,
+    /// Sum of the reports for each endpoint, so that a choice does not go through all reports.
+    others: HashMap<id::Endpoint, Load>,
+    /// Time at which the oldest report came in, or an earlier one.
+    oldest_report: Option<Instant>,
 }
 
+/// Time at which the load report of an entry came in, and its load on each endpoint.
+type Report = (Instant, Vec<(id::Endpoint, Load)>);
+
 impl Loads {
     /// Returns the load on an endpoint from this entry and the recent reports of the others.
     #[must_use]
-    pub fn total(&self, endpoint: &str, now: Instant) -> Load {
-        let local = self.local.get(endpoint).copied().unwrap_or_default();
-        let recent = self
-            .reports
-            .values()
-            .filter(|(at, _)| now.duration_since(*at) < REPORT_TTL);
-        recent
-            .filter_map(|(_, loads)| loads.get(endpoint))
-            .fold(local, |sum, load| sum.plus(*load))
+    pub fn total(&mut self, endpoint: &str, now: Instant) -> Load {
+        self.expire_reports(now);
+        let get = |loads: &HashMap<_, Load>| loads.get(endpoint).copied().unwrap_or_default();
+        get(&self.local).plus(get(&self.others))
     }
 
     /// Returns the number of this entry's own requests at an endpoint.
@@ -130,10 +139,42 @@
         loads: Vec<(id::Endpoint, Load)>,
         now: Instant,
     ) {
-        self.reports
-            .retain(|_, (at, _)| now.duration_since(*at) < REPORT_TTL);
-        self.reports
-            .insert(entry.clone(), (now, loads.into_iter().collect()));
+        self.expire_reports(now);
+        self.remove_report(entry);
+        for (endpoint, load) in &loads {
+            let sum = self.others.entry(endpoint.clone()).or_default();
+            *sum = sum.plus(*load);
+        }
+        self.oldest_report.get_or_insert(now);
+        self.reports.insert(entry.clone(), (now, loads));
+    }
+
+    /// Removes the reports that are too old.
+    fn expire_reports(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.duration_since(at) >= REPORT_TTL;
+        if !self.oldest_report.is_some_and(is_old) {
+            return;
+        }
+        let old = self.reports.iter().filter(|(_, (at, _))| is_old(*at));
+        let old: Vec<id::Process> = old.map(|(entry, _)| entry.clone()).collect();
+        for entry in old {
+            self.remove_report(&entry);
+        }
+        self.oldest_report = self.reports.values().map(|(at, _)| *at).min();
+    }
+
+    fn remove_report(&mut self, entry: &str) {
+        let Some((_, loads)) = self.reports.remove(entry) else {
+            return;
+        };
+        for (endpoint, load) in loads {
+            if let Some(sum) = self.others.get_mut(&endpoint) {
+                *sum = sum.minus(load);
+                if *sum == Load::default() {
+                    self.others.remove(&endpoint);
+                }
+            }
+        }
     }
 
     /// Removes the endpoints that are no longer known and have no load from this entry.
