direct tests: crashes of several groups under one prompt part

Three groups, thirty entries, a second crash of the same request in another group at once, and a sign of each end after a second only.

--- a/crates/direct/tests/suite/prompt_parts.rs
+++ b/crates/direct/tests/suite/prompt_parts.rs
@@ -221,6 +221,72 @@
     assert!(choice.is_ok(), "{choice:?}");
 }
 
+/// Load pattern: as before with three groups. A request that has crashed an engine goes to another group at once,
+/// and that an engine has ended shows after a second only.
+#[tokio::test(start_paused = true)]
+async fn crashes_in_groups_end() {
+    const SIGN_DELAY: Duration = Duration::from_secs(1);
+    for seed in 0..20 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut entries = vec![Blame::default(); 30];
+        let mut groups_down_until = [Instant::now(); 3];
+        // Crashes, and signs of an end that are still to come: when, at which entry, of which endpoint.
+        let (mut crashes, mut signs) = (Vec::new(), Vec::new());
+        for step in 0..4000_u64 {
+            time::advance(Duration::from_millis(10)).await;
+            let now = Instant::now();
+            if step % 30 == 0 {
+                let news: Vec<_> = entries.iter().map(|entry| entry.news(now)).collect();
+                for entry in &mut entries {
+                    news.iter().for_each(|news| entry.merge(news, now));
+                    entry.expire(now);
+                }
+            }
+            signs.retain(
+                |(at, entry, endpoint): &(Instant, usize, conf::id::Endpoint)| {
+                    let is_due = *at <= now;
+                    if is_due {
+                        entries[*entry].record_end(endpoint, 1, now);
+                    }
+                    !is_due
+                },
+            );
+            let entry = random.random_range(0..entries.len());
+            let session = format!("session{}", random.random_range(0..5));
+            let mut request = parts(&["system", &session]);
+            let is_bad = random.random_bool(0.05);
+            if is_bad {
+                request.push("bad".into());
+            }
+            for _ in 0..2 {
+                let Some(group) = groups_down_until.iter_mut().find(|until| **until <= now) else {
+                    break;
+                };
+                if entries[entry].find_refused(&request, now).is_some() {
+                    assert!(is_bad, "seed {seed}: a sound request is refused");
+                    break;
+                }
+                if !is_bad {
+                    entries[entry].record_sound(&request, now);
+                    break;
+                }
+                let endpoint: conf::id::Endpoint = format!("e{}", crashes.len()).into();
+                entries[entry].record_break(&endpoint, 1, &request, now);
+                signs.push((now + SIGN_DELAY, entry, endpoint));
+                crashes.push(now);
+                *group = now + CRASH_INTERVAL;
+            }
+        }
+        let fifth = crashes.get(4).copied();
+        let late = crashes.iter().filter(|at| {
+            fifth.is_some_and(|fifth| at.duration_since(fifth) > Duration::from_secs(3))
+        });
+        let late = late.count();
+        assert!(late <= 3, "seed {seed}: {late} of {} late", crashes.len());
+        println!("seed {seed}: {} crashes, {late} late", crashes.len());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn refused_request_unsent() {
     let (mut balancer, view, service) = (balancer(), view(6), "drafts".into());
