--- a/crates/direct/tests/suite/event_split.rs
+++ b/crates/direct/tests/suite/event_split.rs
@@ -1,4 +1,5 @@
 use direct::events::Splitter;
+use proptest::{collection::vec, prelude::*};
 
 #[test]
 fn complete_events_only() {
@@ -47,3 +48,41 @@
     }
     assert_eq!(received, text);
 }
+
+/// Returns bytes that are likely to form events.
+fn stream_bytes() -> impl Strategy<Value = Vec<u8>> {
+    let piece = prop_oneof![
+        Just(b"\n".to_vec()),
+        Just(b"\r\n".to_vec()),
+        Just(b"\n\n".to_vec()),
+        Just(b"id: ".to_vec()),
+        Just(b"data: x".to_vec()),
+        (0..30_u64).prop_map(|id| format!("id: {id}\ndata: x\n\n").into_bytes()),
+        vec(any::<u8>(), 0..6),
+    ];
+    vec(piece, 0..40).prop_map(|pieces| pieces.concat())
+}
+
+proptest! {
+    /// The pieces in which a stream arrives make no difference, and no byte is added or lost.
+    #[test]
+    fn pieces_make_no_difference(bytes in stream_bytes(), sizes in vec(1..9_usize, 1..20)) {
+        let mut whole = Splitter::default();
+        whole.push(&bytes);
+        let expected = whole.take_events(None);
+        let (mut splitter, mut received, mut last_id) = (Splitter::default(), Vec::new(), None);
+        let (mut rest, mut sizes) = (&bytes[..], sizes.iter().cycle());
+        while !rest.is_empty() {
+            let (piece, others) = rest.split_at(rest.len().min(*sizes.next().unwrap()));
+            splitter.push(piece);
+            let batch = splitter.take_events(None);
+            received.extend_from_slice(&batch.bytes);
+            last_id = batch.last_id.or(last_id);
+            rest = others;
+        }
+        prop_assert_eq!(&received[..], &expected.bytes[..]);
+        prop_assert_eq!(last_id, expected.last_id);
+        prop_assert!(bytes.starts_with(&received));
+        prop_assert_eq!(splitter.is_empty(), received.len() == bytes.len());
+    }
+}
