direct: count both crashes of a request that went from one endpoint to another

Found by a simulation of crashes in several groups: a request that has crashed an engine goes to another group at once, and the two crashes counted as one, since crashes within 0.2 s are taken for a common end. Class: a guard against one cause (loss of power) hides another. Fix: a crash under a request that had been sent on after another one always counts. `crashes_in_groups_end` failed with its new cases before, `repeated_crash_counts` states the rule.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -444,12 +444,14 @@
         self.pauses.record(&placement.endpoint, pause, now);
     }
 
-    /// Records that a connection broke before an endpoint had written an answer.
+    /// Records that a connection broke before an endpoint had written an answer; `is_repeat` if the request
+    /// had been sent on after another break.
     pub fn record_break(
         &mut self,
         placement: &Placement,
         fingerprint: Fingerprint,
         shared_parts: &[Part],
+        is_repeat: bool,
         now: Instant,
     ) {
         let crash = self.random.random();
@@ -460,7 +462,7 @@
             ..
         } = placement;
         self.blame
-            .record_break(endpoint, *incarnation, shared_parts, now);
+            .record_break(endpoint, *incarnation, shared_parts, is_repeat, now);
     }
 
     /// Records that an endpoint writes an answer to a request with these parts in its prompt.
--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -11,7 +11,8 @@
 
 /// Number of crashes after which a part is refused.
 const MAX_CRASHES: usize = 3;
-/// Least time between two crashes that both count: endpoints that end together have another cause.
+/// Least time between two crashes that both count: endpoints that end together have another cause, unless the
+/// request that ran on one of them went there from the other.
 const CRASH_SPACING: Duration = Duration::from_millis(200);
 /// Time for which a crash counts against a part.
 const CRASH_TTL: Duration = Duration::from_secs(60);
@@ -45,6 +46,8 @@
     /// Time since the crash.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// Whether the request had been sent on after another crash.
+    pub is_repeat: bool,
 }
 
 /// Part that is refused.
@@ -110,6 +113,7 @@
     crash: CrashId,
     at: Instant,
     heard_at: Instant,
+    is_repeat: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -118,6 +122,7 @@
     incarnation: Incarnation,
     parts: Vec<Part>,
     at: Instant,
+    is_repeat: bool,
 }
 
 /// # Decisions
@@ -152,25 +157,33 @@
     }
 
     /// Records that the connection to an endpoint broke before it had written an answer to a request with
-    /// these parts.
+    /// these parts; `is_repeat` if the request had been sent on after another break.
     pub fn record_break(
         &mut self,
         endpoint: &id::Endpoint,
         incarnation: Incarnation,
         parts: &[Part],
+        is_repeat: bool,
         now: Instant,
     ) {
         if parts.is_empty() {
             return;
         }
         if self.ended.contains_key(&(endpoint.clone(), incarnation)) {
-            self.blame(parts, crash_id(endpoint, incarnation), now, now);
+            let known = Known {
+                crash: crash_id(endpoint, incarnation),
+                at: now,
+                heard_at: now,
+                is_repeat,
+            };
+            self.blame(parts, known);
         } else if self.breaks.len() < MAX_RECORDS {
             self.breaks.push(Break {
                 endpoint: endpoint.clone(),
                 incarnation,
                 parts: parts.to_vec(),
                 at: now,
+                is_repeat,
             });
         }
     }
@@ -184,8 +197,14 @@
             .into_iter()
             .partition(is_of);
         self.breaks = others;
-        for Break { parts, at, .. } in found {
-            self.blame(&parts, crash_id(endpoint, incarnation), at, now);
+        for found in found {
+            let known = Known {
+                crash: crash_id(endpoint, incarnation),
+                at: found.at,
+                heard_at: now,
+                is_repeat: found.is_repeat,
+            };
+            self.blame(&found.parts, known);
         }
     }
 
@@ -215,25 +234,25 @@
     }
 
     /// Counts a crash against parts that are not known to be sound.
-    fn blame(&mut self, parts: &[Part], crash: CrashId, at: Instant, heard_at: Instant) {
+    fn blame(&mut self, parts: &[Part], crash: Known) {
         for part in parts {
-            if self.is_sound(part, at) {
+            if self.is_sound(part, crash.at) {
                 continue;
             }
             if self.records.len() >= MAX_RECORDS && !self.records.contains_key(part) {
                 return;
             }
             let record = self.records.entry(part.clone()).or_default();
-            if record.crashes.iter().any(|known| known.crash == crash) {
+            if record
+                .crashes
+                .iter()
+                .any(|known| known.crash == crash.crash)
+            {
                 continue;
             }
-            record.crashes.push(Known {
-                crash,
-                at,
-                heard_at,
-            });
-            if record.refused_at.is_none() && record.count(heard_at) >= MAX_CRASHES {
-                record.refused_at = Some(heard_at);
+            record.crashes.push(crash);
+            if record.refused_at.is_none() && record.count(crash.heard_at) >= MAX_CRASHES {
+                record.refused_at = Some(crash.heard_at);
                 self.verdicts.push(Verdict::Refused(part.clone()));
             }
         }
@@ -274,6 +293,7 @@
                 part: part.clone(),
                 crash: c.crash,
                 age: now.duration_since(c.at),
+                is_repeat: c.is_repeat,
             })
         });
         let refused = self.records.iter().filter_map(|(part, record)| {
@@ -301,9 +321,14 @@
                 self.rebut(part, now);
             }
         }
-        for Crash { part, crash, age } in &news.crashes {
-            let at = now.checked_sub(*age).unwrap_or(now);
-            self.blame(std::slice::from_ref(part), *crash, at, now);
+        for crash in &news.crashes {
+            let known = Known {
+                crash: crash.crash,
+                at: now.checked_sub(crash.age).unwrap_or(now),
+                heard_at: now,
+                is_repeat: crash.is_repeat,
+            };
+            self.blame(std::slice::from_ref(&crash.part), known);
         }
         for Refusal { part, age } in &news.refused {
             let is_known = self
@@ -321,12 +346,14 @@
 }
 
 impl Record {
-    /// Returns the number of crashes that are recent and lie apart from each other.
+    /// Returns the number of recent crashes that lie apart from each other or are repeats.
     fn count(&self, now: Instant) -> usize {
-        let mut times: Vec<Instant> = self.crashes.iter().map(|c| c.at).collect();
-        times.retain(|at| now.duration_since(*at) < CRASH_TTL);
+        let recent = self.crashes.iter();
+        let recent = recent.filter(|c| now.duration_since(c.at) < CRASH_TTL);
+        let (repeats, firsts): (Vec<&Known>, _) = recent.partition(|c| c.is_repeat);
+        let mut times: Vec<Instant> = firsts.iter().map(|c| c.at).collect();
         times.sort();
-        let (mut count, mut last): (usize, Option<Instant>) = (0, None);
+        let (mut count, mut last): (usize, Option<Instant>) = (repeats.len(), None);
         for at in times {
             if last.is_none_or(|last| at.duration_since(last) >= CRASH_SPACING) {
                 (count, last) = (count + 1, Some(at));
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -565,7 +565,14 @@
 impl Call {
     /// Records that a connection broke before the endpoint had written an answer.
     fn record_break(&self, dispatch: &Dispatch) {
-        record_break(&self.context, &self.request, self.fingerprint, dispatch);
+        let is_repeat = self.possible_runs > 1;
+        record_break(
+            &self.context,
+            &self.request,
+            self.fingerprint,
+            is_repeat,
+            dispatch,
+        );
     }
 
     fn time_left(&self) -> Duration {
@@ -623,6 +630,7 @@
     context: &Context,
     request: &metadata::Request,
     fingerprint: Fingerprint,
+    is_repeat: bool,
     dispatch: &Dispatch,
 ) {
     let placement = &dispatch.placement;
@@ -633,12 +641,8 @@
         "connection broke before an answer"
     );
     context.with_balancer(|balancer| {
-        balancer.record_break(
-            placement,
-            fingerprint,
-            &request.shared_parts,
-            Instant::now(),
-        );
+        let parts = &request.shared_parts;
+        balancer.record_break(placement, fingerprint, parts, is_repeat, Instant::now());
     });
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -187,6 +187,7 @@
                 &resumption.context,
                 &resumption.request,
                 resumption.fingerprint,
+                resumption.possible_runs > 1,
                 &broken.dispatch,
             );
         }
--- a/crates/direct/tests/suite/prompt_parts.rs
+++ b/crates/direct/tests/suite/prompt_parts.rs
@@ -22,7 +22,7 @@
 /// Lets endpoint `number` end under a request with these parts.
 fn crash(blame: &mut Blame, number: u64, ids: &[&str]) {
     let endpoint = format!("e{number}").into();
-    blame.record_break(&endpoint, number, &parts(ids), Instant::now());
+    blame.record_break(&endpoint, number, &parts(ids), false, Instant::now());
     blame.record_end(&endpoint, number, Instant::now());
 }
 
@@ -83,12 +83,26 @@
     assert!(!is_refused(&blame, "hot"));
 }
 
+/// An endpoint that ends under a request which had been sent on after another crash has no common cause with it.
+#[tokio::test(start_paused = true)]
+async fn repeated_crash_counts() {
+    let mut blame = Blame::default();
+    for number in 0..3 {
+        let endpoint = format!("e{number}").into();
+        let (bad, now) = (parts(&["bad"]), Instant::now());
+        blame.record_break(&endpoint, 1, &bad, number % 2 == 1, now);
+        blame.record_end(&endpoint, 1, now);
+        time::advance(Duration::from_millis(150)).await;
+    }
+    assert!(is_refused(&blame, "bad"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn broken_connection_not_blamed() {
     let mut blame = Blame::default();
     for number in 0..9 {
         let endpoint = format!("e{number}").into();
-        blame.record_break(&endpoint, 1, &parts(&["hot"]), Instant::now());
+        blame.record_break(&endpoint, 1, &parts(&["hot"]), false, Instant::now());
         time::advance(Duration::from_secs(6)).await;
         blame.expire(Instant::now());
         blame.record_end(&endpoint, 1, Instant::now());
@@ -181,7 +195,7 @@
                 refused += u32::from(!is_bad);
             } else if is_bad {
                 let endpoint = format!("e{crashes}").into();
-                entries[entry].record_break(&endpoint, 1, &request, now);
+                entries[entry].record_break(&endpoint, 1, &request, false, now);
                 entries[entry].record_end(&endpoint, 1, now);
                 crashes += 1;
                 group_down_until = now + CRASH_INTERVAL;
@@ -209,7 +223,7 @@
         request.fingerprint = fingerprint;
         let now = Instant::now();
         let placement = balancer.choose(&view, &request, now).unwrap();
-        balancer.record_break(&placement, fingerprint, &shared_parts, now);
+        balancer.record_break(&placement, fingerprint, &shared_parts, false, now);
         balancer.record_outcome(&placement, Outcome::Broke, now);
         let endpoint = &placement.endpoint;
         balancer.record_stall(&view, endpoint, endpoint, now);
@@ -221,70 +235,89 @@
     assert!(choice.is_ok(), "{choice:?}");
 }
 
-/// Load pattern: as before with three groups. A request that has crashed an engine goes to another group at once,
+/// Load pattern: as before with several groups. A request that has crashed an engine goes to another group at once,
 /// and that an engine has ended shows after a second only.
 #[tokio::test(start_paused = true)]
 async fn crashes_in_groups_end() {
+    let cases = [
+        (3, 0.05, 0),
+        (2, 0.05, 5),
+        (3, 0.01, 5),
+        (4, 0.05, 5),
+        (4, 0.005, 5),
+        (6, 0.01, 5),
+    ];
+    for (groups, share, calm) in cases {
+        for seed in 0..20 {
+            let calm = Duration::from_secs(calm);
+            let (crashes, late) = play_crashes(seed, groups, share, calm).await;
+            let run = format!("{groups} groups, share {share}, seed {seed}");
+            println!("{run}: {crashes} {late}");
+            assert!(late <= 3, "{run}: {late} of {crashes} crashes are late");
+        }
+    }
+}
+
+/// Plays 40 s of 100 requests a second, a share of which has the part that crashes engines once the calm is over;
+/// returns the number of crashes and of those that are later than 3 s after the fifth.
+async fn play_crashes(seed: u64, groups: usize, share: f64, calm: Duration) -> (usize, usize) {
     const SIGN_DELAY: Duration = Duration::from_secs(1);
-    for seed in 0..20 {
-        let mut random = SmallRng::seed_from_u64(seed);
-        let mut entries = vec![Blame::default(); 30];
-        let mut groups_down_until = [Instant::now(); 3];
-        // Crashes, and signs of an end that are still to come: when, at which entry, of which endpoint.
-        let (mut crashes, mut signs) = (Vec::new(), Vec::new());
-        for step in 0..4000_u64 {
-            time::advance(Duration::from_millis(10)).await;
-            let now = Instant::now();
-            if step % 30 == 0 {
-                let news: Vec<_> = entries.iter().map(|entry| entry.news(now)).collect();
-                for entry in &mut entries {
-                    news.iter().for_each(|news| entry.merge(news, now));
-                    entry.expire(now);
-                }
-            }
-            signs.retain(
-                |(at, entry, endpoint): &(Instant, usize, conf::id::Endpoint)| {
-                    let is_due = *at <= now;
-                    if is_due {
-                        entries[*entry].record_end(endpoint, 1, now);
-                    }
-                    !is_due
-                },
-            );
-            let entry = random.random_range(0..entries.len());
-            let session = format!("session{}", random.random_range(0..5));
-            let mut request = parts(&["system", &session]);
-            let is_bad = random.random_bool(0.05);
-            if is_bad {
-                request.push("bad".into());
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut entries = vec![Blame::default(); 30];
+    let calm_until = Instant::now() + calm;
+    let mut groups_down_until = vec![Instant::now(); groups];
+    // Crashes, and signs of an end that are still to come: when, at which entry, of which endpoint.
+    let (mut crashes, mut signs) = (Vec::new(), Vec::new());
+    for step in 0..4000_u64 {
+        time::advance(Duration::from_millis(10)).await;
+        let now = Instant::now();
+        if step % 30 == 0 {
+            let news: Vec<_> = entries.iter().map(|entry| entry.news(now)).collect();
+            for entry in &mut entries {
+                news.iter().for_each(|news| entry.merge(news, now));
+                entry.expire(now);
             }
-            for _ in 0..2 {
-                let Some(group) = groups_down_until.iter_mut().find(|until| **until <= now) else {
-                    break;
-                };
-                if entries[entry].find_refused(&request, now).is_some() {
-                    assert!(is_bad, "seed {seed}: a sound request is refused");
-                    break;
-                }
-                if !is_bad {
-                    entries[entry].record_sound(&request, now);
-                    break;
+        }
+        signs.retain(
+            |(at, entry, endpoint): &(Instant, usize, conf::id::Endpoint)| {
+                let is_due = *at <= now;
+                if is_due {
+                    entries[*entry].record_end(endpoint, 1, now);
                 }
-                let endpoint: conf::id::Endpoint = format!("e{}", crashes.len()).into();
-                entries[entry].record_break(&endpoint, 1, &request, now);
-                signs.push((now + SIGN_DELAY, entry, endpoint));
-                crashes.push(now);
-                *group = now + CRASH_INTERVAL;
+                !is_due
+            },
+        );
+        let entry = random.random_range(0..entries.len());
+        let session = format!("session{}", random.random_range(0..5));
+        let mut request = parts(&["system", &session]);
+        let is_bad = random.random_bool(share) && now >= calm_until;
+        if is_bad {
+            request.push("bad".into());
+        }
+        for is_repeat in [false, true] {
+            let Some(group) = groups_down_until.iter_mut().find(|until| **until <= now) else {
+                break;
+            };
+            if entries[entry].find_refused(&request, now).is_some() {
+                assert!(is_bad, "seed {seed}: a sound request is refused");
+                break;
+            }
+            if !is_bad {
+                entries[entry].record_sound(&request, now);
+                break;
             }
+            let endpoint: conf::id::Endpoint = format!("e{}", crashes.len()).into();
+            entries[entry].record_break(&endpoint, 1, &request, is_repeat, now);
+            signs.push((now + SIGN_DELAY, entry, endpoint));
+            crashes.push(now);
+            *group = now + CRASH_INTERVAL;
         }
-        let fifth = crashes.get(4).copied();
-        let late = crashes.iter().filter(|at| {
-            fifth.is_some_and(|fifth| at.duration_since(fifth) > Duration::from_secs(3))
-        });
-        let late = late.count();
-        assert!(late <= 3, "seed {seed}: {late} of {} late", crashes.len());
-        println!("seed {seed}: {} crashes, {late} late", crashes.len());
     }
+    let fifth = crashes.get(4).copied();
+    let late = crashes
+        .iter()
+        .filter(|at| fifth.is_some_and(|fifth| at.duration_since(fifth) > Duration::from_secs(3)));
+    (crashes.len(), late.count())
 }
 
 #[tokio::test(start_paused = true)]
@@ -296,7 +329,7 @@
     for request in 0..3 {
         suspicious.fingerprint = request;
         let placement = balancer.choose(&view, &suspicious, Instant::now()).unwrap();
-        balancer.record_break(&placement, request, &shared_parts, Instant::now());
+        balancer.record_break(&placement, request, &shared_parts, false, Instant::now());
         balancer.record_outcome(&placement, Outcome::Broke, Instant::now());
         // The endpoint named as lost by another one of its group.
         let (lost, now) = (placement.endpoint.to_string(), Instant::now());
