--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -46,6 +46,7 @@
         timeout: Duration::from_secs(3),
         event_timeout: stream.then_some(Duration::from_secs(1)),
         latency_target: Duration::from_millis(400),
+        gap_target: stream.then_some(Duration::from_millis(120)),
         max_attempts: 2,
         priority: 1,
         public: false,
@@ -66,6 +67,7 @@
             max_new_experts: 2,
             copy_time: Duration::from_millis(100),
             form_time: Duration::from_millis(600),
+            zone_delays: Vec::new(),
         }),
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,6 @@
 pub use pace::{Pace, Patience};
 pub use replica::{LAPSE_GRACE, REREGISTRATION_WINDOW, Replica, Update};
 pub use revision::Revision;
-pub use routing::{Configuration, Engine, Limits, Repeat, Route, Service, Split, Team};
+pub use routing::{Configuration, Engine, Limits, Repeat, Route, Service, Split, Team, ZoneDelay};
 pub use source::{Error as SourceError, Source};
 pub use view::{Registration, View};
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -48,6 +48,10 @@
     /// Time without an event after which clients abandon a stream; `None` if only `timeout` applies.
     #[serde(default, rename = "patience")]
     pub event_timeout: Option<Duration>,
+    /// Longest pause between two events of a stream for which its response is on time; `None` if the route
+    /// states none.
+    #[serde(default)]
+    pub gap_target: Option<Duration>,
     /// Maximum number of endpoints that one request may be sent to.
     #[serde(rename = "attempts")]
     pub max_attempts: u32,
@@ -84,6 +88,20 @@
     /// Time that a group needs to re-form once all its ranks have restarted.
     #[serde(rename = "form")]
     pub form_time: Duration,
+    /// Delays between availability zones; a pair is listed in one direction.
+    #[serde(default)]
+    pub zone_delays: Vec<ZoneDelay>,
+}
+
+/// Delay of the network between two availability zones.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneDelay {
+    /// One of the zones.
+    pub from: id::Zone,
+    /// The other zone.
+    pub to: id::Zone,
+    /// Time that a packet takes one way.
+    pub delay: Duration,
 }
 
 /// Capacity and start-up behaviour of a service's endpoints.
--- /dev/null
+++ b/crates/sched/tests/suite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the decisions under load.
