sched: levels of requests by team and route

Cause: a team's priority replaces that of the route, so that 94% of the requests had one priority. Change: Ranks numbers the pairs of priorities that occur for a service. Route::receivers names the services that get requests of a route. Nothing uses them yet.

--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -61,6 +61,20 @@
     pub public: bool,
 }
 
+impl Route {
+    /// Lists the services that get requests of the route.
+    ///
+    /// These are the ones with a weight above 0; if there are none, the last one gets all requests.
+    pub fn receivers(&self) -> impl Iterator<Item = &id::Service> {
+        let is_weighted = self.split.iter().any(|split| split.weight > 0);
+        let last = self.split.len().saturating_sub(1);
+        let splits = self.split.iter().enumerate();
+        splits
+            .filter(move |(index, split)| split.weight > 0 || !is_weighted && *index == last)
+            .map(|(_, split)| &split.service)
+    }
+}
+
 /// Performance and capacity of the model engines of a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Engine {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -3,5 +3,7 @@
 //! Nothing here does I/O or reads a clock: callers pass the time, and random numbers where one is needed.
 
 mod partition;
+mod rank;
 
 pub use partition::Partition;
+pub use rank::{Rank, Ranks};
--- a/crates/sched/tests/suite/main.rs
+++ b/crates/sched/tests/suite/main.rs
@@ -1,1 +1,3 @@
 //! Tests of the decisions under load.
+
+mod rank_levels;
