sched: forecast of passes from the gaps between events

Cause: nothing predicts that a change of the experts in demand makes a full group exceed the longest pause of streams. Change: Forecast, by docs/design/forecast.md. Gaps within 0.75 of the base make up one pass: with half of the first gap, a late pass of 350 ms took in the passes that followed (test outliers_ignored).

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! Nothing here does I/O or reads a clock: callers pass the time, and random numbers where one is needed.
 
+mod forecast;
 mod partition;
 mod rank;
 
+pub use forecast::Forecast;
 pub use partition::Partition;
 pub use rank::{Rank, Ranks};
--- a/crates/sched/tests/suite/main.rs
+++ b/crates/sched/tests/suite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the decisions under load.
 
+mod pass_forecast;
 mod rank_levels;
