direct: engines get the level of a request; passes of groups are measured

Cause: engines got one priority for 94% of the requests, and entries did not know how long passes last. Change: the balancer keeps the ranks and gap targets of the configuration in use, and a forecast that streams feed with the time between their events. A log line tells a changed comfortable load; metrics give the lowest one and the error of predictions.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,5 +1,6 @@
 mod exchange;
 mod outcomes;
+mod passes;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -13,9 +14,12 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use tokio::time::Instant;
 
+use passes::Passes;
+pub use passes::{Comfort, Reading};
+
 use crate::{
     Admission, Blame, Bounds, Budget, Demand, Departures, Health, Limits, Loads, Part, Pauses,
-    Stalls, Suspects, cold, departures::Incarnation, suspects::Fingerprint,
+    Stalls, Suspects, cold, departures::Incarnation, suspects::Fingerprint, terms::Terms,
 };
 
 /// Pending prompt tokens that weigh as much in an endpoint's score as one generating request.
@@ -163,6 +167,9 @@
     blame: Blame,
     stalls: Stalls,
     groups: group::Directory,
+    passes: Passes,
+    /// Ranks and gap targets of the last configuration that a request came under.
+    terms: Option<Terms>,
     random: SmallRng,
 }
 
@@ -196,6 +203,8 @@
             blame: Blame::default(),
             stalls: Stalls::default(),
             groups: group::Directory::default(),
+            passes: Passes::default(),
+            terms: None,
             random: SmallRng::seed_from_u64(seed),
         }
     }
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -169,5 +169,6 @@
         self.limits.retain(known, now);
         self.departures.retain(known, now);
         self.pauses.remove_expired(now);
+        self.passes.remove_expired(now);
     }
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -146,8 +146,8 @@
     route: Arc<Route>,
     service: id::Service,
     team: Option<id::Team>,
-    /// Scheduling priority at the endpoint, from 0 (highest) to 9.
-    priority: u8,
+    /// Level of the request's rank, from 0 (highest).
+    level: u8,
     /// Version of the configuration.
     version: u64,
     head: request::Parts,
@@ -224,13 +224,16 @@
         let first_event_by = route
             .event_timeout
             .map(|timeout| arrived + timeout.saturating_sub(FIRST_EVENT_MARGIN));
+        let service = choose_service(&route, &request.id);
+        let team_priority = team.and_then(|t| t.priority);
+        let level = context.with_balancer(|balancer| {
+            let ranks = balancer.ranks(&configuration);
+            ranks.level(&service, team_priority, route.priority)
+        });
         Ok(Self {
-            service: choose_service(&route, &request.id),
+            service,
             team: team.map(|t| t.name.clone()),
-            priority: team
-                .and_then(|t| t.priority)
-                .unwrap_or(route.priority)
-                .min(9),
+            level,
             version: configuration.version,
             fingerprint: fingerprint(team.map(|t| &t.name), path, &body),
             context: context.clone(),
@@ -549,7 +552,7 @@
             route: self.route.clone(),
             service: self.service.clone(),
             team: self.team.clone(),
-            priority: self.priority,
+            level: self.level,
             head: self.head.clone(),
             body: self.body.clone(),
             fingerprint: self.fingerprint,
@@ -592,7 +595,7 @@
             endpoint: &placement.endpoint,
             team: self.team.as_ref(),
             time_left: self.time_left(),
-            priority: self.priority,
+            priority: self.level.min(metadata::MAX_PRIORITY),
             last_event: self.request.last_event,
         };
         build_request(
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -81,6 +81,28 @@
             .with_balancer(|balancer| balancer.record_progress(&self.placement, now));
     }
 
+    /// Records the time between two events of the response.
+    pub(crate) fn record_gap(&self, gap: Duration, now: Instant) {
+        let view = self.context.view.borrow().clone();
+        let reading = self
+            .context
+            .with_balancer(|balancer| balancer.record_gap(&view, &self.placement, gap, now));
+        if let Some(error) = reading.error {
+            let error = error.as_secs_f64();
+            self.context.metrics.pass_error.observe(error);
+        }
+        if let Some(comfort) = reading.comfort {
+            log::info!(
+                service:% = comfort.service,
+                group:% = comfort.group.unwrap_or_default(),
+                cost_us = micros(comfort.cost),
+                comfortable_load = comfort.load,
+                pass_ms = millis(comfort.pass);
+                "comfortable load of a group has changed"
+            );
+        }
+    }
+
     /// Records that the response has started; later calls do nothing.
     pub(crate) fn record_start(&mut self) {
         if !std::mem::replace(&mut self.started, true) {
@@ -156,6 +178,11 @@
     }
 }
 
+/// Returns a duration in whole microseconds.
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Drop for Dispatch {
     fn drop(&mut self) {
         self.record_end(Outcome::Dropped);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -36,11 +36,12 @@
 mod stream;
 mod suspects;
 mod sync;
+mod terms;
 mod watching;
 mod window;
 
 pub use admission::{Admission, Demand};
-pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
+pub use balancer::{Attempt, Balancer, Choice, Comfort, Outcome, Placement, Reading};
 pub use blame::{Blame, Crash, News, Part, Refusal, Verdict};
 pub use budget::Budget;
 pub use departures::{Departures, Incarnation};
--- a/crates/direct/src/metadata.rs
+++ b/crates/direct/src/metadata.rs
@@ -8,6 +8,9 @@
 
 use crate::Part;
 
+/// Largest priority value, that of the requests which endpoints serve last.
+pub const MAX_PRIORITY: u8 = 9;
+
 /// Metadata of a client request, decoded from its headers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Request {
@@ -37,7 +40,7 @@
     pub team: Option<&'a id::Team>,
     /// Time left until the client's deadline.
     pub time_left: Duration,
-    /// Scheduling priority at the endpoint, from 0 (highest) to 9.
+    /// Scheduling priority at the endpoint, from 0 (highest) to [`MAX_PRIORITY`].
     pub priority: u8,
     /// Id of the last event that the client received, if the endpoint resumes a stream.
     pub last_event: Option<u64>,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,4 +1,4 @@
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the latency histogram buckets, in seconds; they are densest around the latency
 /// targets that routes usually state.
@@ -6,6 +6,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
 ];
 
+/// Upper bounds of the buckets for errors of predicted passes, in seconds; a pass lasts 30 to 130 ms.
+const PASS_ERROR_BUCKETS: [f64; 9] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2];
+
 /// Prometheus metrics of an entry.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -23,6 +26,10 @@
     pub(crate) entries: IntGauge,
     /// Endpoints that state a limit.
     pub(crate) limited: IntGauge,
+    /// Lowest comfortable load of a group, in requests per engine; 0 while none is known.
+    pub(crate) comfortable_load: Gauge,
+    /// Difference between the predicted and the measured duration of passes, in seconds.
+    pub(crate) pass_error: Histogram,
 }
 
 impl Metrics {
@@ -37,11 +44,11 @@
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
-        let histogram = |name: &str, help: &str| -> prometheus::Result<Histogram> {
-            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             let histogram = Histogram::with_opts(options)?;
             registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
+            prometheus::Result::Ok(histogram)
         };
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
@@ -62,10 +69,12 @@
             first_byte: histogram(
                 "apricot_direct_first_byte_seconds",
                 "Arrival to first byte.",
+                &BUCKETS,
             )?,
             full_response: histogram(
                 "apricot_direct_answer_seconds",
                 "Arrival to end of the answer.",
+                &BUCKETS,
             )?,
             in_flight: gauge("apricot_direct_in_flight", "Requests in progress.")?,
             entries: gauge("apricot_direct_entries", "Entries that were heard lately.")?,
@@ -73,6 +82,19 @@
                 "apricot_direct_limited_endpoints",
                 "Endpoints that state a limit.",
             )?,
+            comfortable_load: {
+                let gauge = Gauge::new(
+                    "apricot_direct_comfortable_load",
+                    "Lowest comfortable load of a group, in requests per engine.",
+                )?;
+                registry.register(Box::new(gauge.clone()))?;
+                gauge
+            },
+            pass_error: histogram(
+                "apricot_direct_pass_error_seconds",
+                "Predicted against measured duration of a pass.",
+                &PASS_ERROR_BUCKETS,
+            )?,
         })
     }
 }
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -24,8 +24,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: id::Service,
     pub(crate) team: Option<id::Team>,
-    /// Scheduling priority at the endpoint, from 0 (highest) to 9.
-    pub(crate) priority: u8,
+    /// Level of the request's rank, from 0 (highest); it stays the same if the configuration changes.
+    pub(crate) level: u8,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     pub(crate) fingerprint: Fingerprint,
@@ -94,7 +94,7 @@
             endpoint: &endpoint,
             team: self.team.as_ref(),
             time_left,
-            priority: self.priority,
+            priority: self.level.min(metadata::MAX_PRIORITY),
             last_event: last_id,
         };
         let request = build_request(
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -117,7 +117,11 @@
             known.is_some_and(|known| current.is_available(known, now))
         };
         context.pool.sweep(is_available);
-        context.with_balancer(|balancer| balancer.retain_known(&current, now));
+        let lowest = context.with_balancer(|balancer| {
+            balancer.retain_known(&current, now);
+            balancer.lowest_comfortable_load(&current, now)
+        });
+        context.metrics.comfortable_load.set(lowest.unwrap_or(0.0));
     }
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -30,6 +30,8 @@
     has_event: bool,
     /// Id of the last event that was passed on to the client.
     last_id: Option<u64>,
+    /// Time at which the last event was received.
+    last_event_at: Option<Instant>,
 }
 
 impl Upstream {
@@ -51,6 +53,7 @@
                 && !head.headers.contains_key(header::TRANSFER_ENCODING),
             has_event: false,
             last_id,
+            last_event_at: None,
         }
     }
 
@@ -94,6 +97,7 @@
                     }
                     let batch = self.splitter.take_events(self.last_id);
                     self.has_event |= batch.count > 0;
+                    self.record_events(batch.count);
                     self.last_id = batch.last_id.or(self.last_id);
                     if !batch.bytes.is_empty() {
                         return Ok(batch.bytes);
@@ -103,6 +107,20 @@
         }
     }
 
+    /// Records the time since the last event if `count` new events are exactly one.
+    ///
+    /// Several events in one read were read late, or the last one ends the stream.
+    fn record_events(&mut self, count: u32) {
+        if count == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let previous = self.last_event_at.replace(now);
+        if let (Some(previous), 1) = (previous, count) {
+            self.dispatch.record_gap(now.duration_since(previous), now);
+        }
+    }
+
     /// Returns the connection to the pool after the stream has ended normally.
     fn finish(mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -12,7 +12,7 @@
 
 use direct::{Listen, Protocol, Settings, metadata};
 use fault::{ErrorKind, Fault};
-use fleet::{Change, Content, Item, Page, Patience, Revision, Source, SourceError};
+use fleet::{Change, Configuration, Content, Item, Page, Patience, Revision, Source, SourceError};
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, StatusCode, request, response};
 use smol_str::SmolStr;
@@ -54,6 +54,7 @@
             "team",
             HeaderValue::from_str(forwarded.team.unwrap()).unwrap(),
         );
+        headers.insert("priority", HeaderValue::from(u16::from(forwarded.priority)));
         if let Some(last) = forwarded.last_event {
             headers.insert("last", HeaderValue::from(last));
         }
@@ -248,7 +249,25 @@
 
 /// Starts an entry in front of the endpoints of one service; returns its address for clients.
 async fn start_entry(service: &str, endpoints: &[&TestEndpoint]) -> SocketAddr {
-    let address = unused_address();
+    start_configured(support::configuration(1), service, endpoints).await
+}
+
+/// Starts an entry with a configuration in front of the endpoints of one service.
+async fn start_configured(
+    configuration: Configuration,
+    service: &str,
+    endpoints: &[&TestEndpoint],
+) -> SocketAddr {
+    start_observed(configuration, service, endpoints).await.0
+}
+
+/// Starts an entry with a configuration; returns its addresses for clients and for operators.
+async fn start_observed(
+    configuration: Configuration,
+    service: &str,
+    endpoints: &[&TestEndpoint],
+) -> (SocketAddr, SocketAddr) {
+    let (address, operators) = (unused_address(), unused_address());
     let settings = Settings {
         name: "entry-a".into(),
         zone: "a".into(),
@@ -258,7 +277,7 @@
             peers: unused_address(),
             gossip: unused_address(),
             groups: unused_address(),
-            operators: unused_address(),
+            operators,
         },
         store: unused_address(),
         seeds: Vec::new(),
@@ -268,7 +287,7 @@
     let mut changes = vec![Change::Put(Item {
         key: "configuration".into(),
         revision: 1.into(),
-        content: Content::Configuration(Arc::new(support::configuration(1))),
+        content: Content::Configuration(Arc::new(configuration)),
     })];
     for (index, endpoint) in endpoints.iter().enumerate() {
         let endpoint = support::endpoint(service, "a", endpoint.address);
@@ -297,7 +316,7 @@
             .await
             .starts_with("HTTP/1.1 404")
         {
-            return address;
+            return (address, operators);
         }
         time::sleep(Duration::from_millis(20)).await;
     }
@@ -757,3 +776,64 @@
     }
     assert!(full.request_count() <= 1, "{}", full.request_count());
 }
+
+/// Failure: all teams have one priority, which replaced that of the routes, so that engines could not tell
+/// urgent requests from others. A resumed stream keeps its level.
+#[tokio::test(flavor = "multi_thread")]
+async fn level_sent_as_priority() {
+    let broken = |r: &str| {
+        let start = vec![stream_head(r), event(1)];
+        match header(r, "last") {
+            None => [start, vec![Action::Close]].concat(),
+            Some(_) => vec![stream_head(r), event(2), stream_end()],
+        }
+    };
+    let endpoints = [
+        TestEndpoint::start(Arc::new(broken)).await,
+        TestEndpoint::start(Arc::new(broken)).await,
+    ];
+    let mut configuration = support::configuration(1);
+    configuration.teams.get_mut("key").unwrap().priority = Some(1);
+    let later = support::route(fleet::Repeat::Resumable, true, "/later/", "drafts");
+    let mut later = Arc::unwrap_or_clone(later);
+    later.priority = 5;
+    configuration.routes.push(Arc::new(later));
+    let expected = [
+        (DRAFT.to_owned(), "0"),
+        (DRAFT.replace("/draft/", "/later/"), "1"),
+    ];
+    for (request, level) in expected {
+        // An entry does not use an endpoint soon after a break, so that each request gets an entry of its own.
+        let configuration = configuration.clone();
+        let entry = start_configured(configuration, "drafts", &endpoints.each_ref()).await;
+        let response = call(entry, &request).await;
+        assert!(response.contains("id: 2"), "{response}");
+        let mut sent = Vec::new();
+        for endpoint in &endpoints {
+            sent.append(&mut endpoint.requests.lock().unwrap());
+        }
+        let levels: Vec<_> = sent.iter().map(|r| header(r, "priority")).collect();
+        assert_eq!(levels, [Some(level); 2]);
+    }
+}
+
+/// Failure: the events of streams are not measured, so that long passes limit nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn passes_measured() {
+    let script = |r: &str| {
+        let pass = |id| [Action::Wait(Duration::from_millis(60)), event(id)];
+        let passes = (1..16).flat_map(pass);
+        let (start, end) = ([stream_head(r)], [stream_end()]);
+        start.into_iter().chain(passes).chain(end).collect()
+    };
+    let endpoint = TestEndpoint::start(Arc::new(script)).await;
+    let configuration = support::configuration(1);
+    let (entry, operators) = start_observed(configuration, "drafts", &[&endpoint]).await;
+    let response = call(entry, DRAFT).await;
+    assert!(response.contains("id: 15"), "{response}");
+    let metrics = call(operators, "GET /metrics HTTP/1.1").await;
+    let name = "apricot_direct_pass_error_seconds_count ";
+    let line = metrics.lines().find_map(|line| line.strip_prefix(name));
+    let count: u32 = line.expect(&metrics).parse().unwrap();
+    assert!((1..=15).contains(&count), "{count} of 15 passes");
+}
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod group_stalls;
 mod health_ejection;
 mod load_reports;
+mod pass_gaps;
 mod prompt_parts;
 mod retry_budget;
 mod settings_errors;
