payload, direct: limit the frames of a body, not only its bytes

Cause: `endless_body_ended` failed at its limit of 1.9 s on a busy machine. Bodies were limited by their bytes alone, so the entry took 209,716 frames from an endless body of 5-byte chunks before it closed the connection; each frame is passed between tasks, queued and copied on its own. The splitter of event streams also searched the whole incomplete event again for each piece.

Change: `payload::collect` replaces `Limited::collect` wherever a body is read into memory (buffered and declined responses, request bodies, keys, clients of the store, the engine and the platform). A body may have one frame for each 64 bytes of its limit, and at least 1,024; its limit in bytes stays exact. Frames are copied into one buffer instead of being kept. The prefix of a request body ends after 1,024 frames, the rest of it has an allowance of frames, and an incomplete event may have 4,096 pieces, of which only the new one is searched.

Result: 16,385 frames are taken from the same body (test `endless_frames_bounded`). `many_chunks_refused`, `many_request_chunks_refused` and `many_pieces_refused` failed without the change. The test `endless_body_ended` and its limit are unchanged.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use fault::{ErrorKind, Fault};
 use http::{HeaderName, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Empty, Limited, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt as _, Empty, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -91,11 +91,8 @@
             "status {}",
             response.status()
         );
-        let body = Limited::new(response.into_body(), MAX_HEALTH_BYTES).collect();
-        let bytes = time::timeout(CHECK_TIMEOUT, body)
-            .await?
-            .map_err(anyhow::Error::from_boxed)?
-            .to_bytes();
+        let body = payload::collect(response.into_body(), MAX_HEALTH_BYTES);
+        let bytes = time::timeout(CHECK_TIMEOUT, body).await??;
         Ok(serde_json::from_slice(&bytes).unwrap_or_default())
     }
 
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -5,7 +5,7 @@
 use expert::{Answer, Detail, Follower, Instruction, Outcome, Request as Message, State};
 use futures::future::BoxFuture;
 use http::Request;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -134,8 +134,7 @@
             let response = self.connections.request(request).await?;
             let status = response.status();
             anyhow::ensure!(status.is_success(), "status {status}");
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-            let bytes = body.await.map_err(anyhow::Error::from_boxed)?.to_bytes();
+            let bytes = payload::collect(response.into_body(), MAX_ANSWER_BYTES).await?;
             Ok(serde_json::from_slice(&bytes)?)
         };
         time::timeout(REQUEST_TIMEOUT, exchange).await?
--- a/crates/ctl/src/fetch.rs
+++ b/crates/ctl/src/fetch.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use clap::{Arg, ArgMatches, value_parser};
-use http_body_util::{BodyExt as _, Empty, Limited};
+use http_body_util::Empty;
 use hyper::body::Bytes;
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use serde::de::DeserializeOwned;
@@ -48,8 +48,8 @@
         let response = client
             .get(format!("http://{address}{path}").parse()?)
             .await?;
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-        Ok::<_, anyhow::Error>(body.await.map_err(anyhow::Error::from_boxed)?.to_bytes())
+        let bytes = payload::collect(response.into_body(), MAX_ANSWER_BYTES).await?;
+        Ok::<_, anyhow::Error>(bytes)
     };
     let bytes = time::timeout(ANSWER_TIMEOUT, read)
         .await
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -9,7 +9,7 @@
 use fault::{ErrorKind, Fault};
 use fleet::{Configuration, Repeat, Route, View};
 use http::{HeaderValue, Request, Response, header, request, response};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use node::Shutdown;
 use smol_str::SmolStr;
@@ -445,7 +445,7 @@
             });
         }
         let keep_alive = pool::keep_alive(&head.headers);
-        let collecting = Limited::new(body, MAX_DECLINED_BODY_BYTES).collect();
+        let collecting = payload::collect(body, MAX_DECLINED_BODY_BYTES);
         if let Ok(Ok(_)) = time::timeout(DECLINED_BODY_TIMEOUT, collecting).await {
             self.context.pool.put(connection, keep_alive);
         }
@@ -468,11 +468,11 @@
     ) -> Disposition {
         let collected = time::timeout_at(
             self.deadline,
-            Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect(),
+            payload::collect(body, MAX_BUFFERED_BODY_BYTES),
         )
         .await;
         let bytes = match collected {
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Ok(bytes)) => bytes,
             Ok(Err(e)) => {
                 self.log_outcome(&dispatch, "broke amid its answer", &e.to_string());
                 dispatch.end(Outcome::Broke);
@@ -655,7 +655,7 @@
         .ok_or_else(|| Fault::new(ErrorKind::NotReady).retry_after(NOT_READY_RETRY_AFTER))
 }
 
-/// Reads a request's body of at most `limit` bytes.
+/// Reads a request's body of at most `limit` bytes and as many frames as [`payload::Allowance`] permits.
 async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, Fault> {
     use hyper::body::Body as _;
     if body.is_end_stream() {
@@ -664,12 +664,12 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(ErrorKind::TooLarge.into());
     }
-    match time::timeout(timeout, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => {
-            Err(ErrorKind::TooLarge.into())
+    match time::timeout(timeout, payload::collect(body, limit)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(payload::Error::Exceeded(_))) => Err(ErrorKind::TooLarge.into()),
+        Ok(Err(payload::Error::Read(e))) => {
+            Err(Fault::new(ErrorKind::Malformed).detail(e.to_string()))
         }
-        Ok(Err(e)) => Err(Fault::new(ErrorKind::Malformed).detail(e.to_string())),
         Err(_) => Err(ErrorKind::SlowClient.into()),
     }
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -90,7 +90,7 @@
                     self.dispatch.record_progress();
                     self.splitter.push(&data);
                     if self.splitter.is_over_limit() {
-                        return Err("an event is longer than allowed".to_owned());
+                        return Err("an event is longer or in more pieces than allowed".to_owned());
                     }
                     let batch = self.splitter.take_events(self.last_id);
                     self.has_event |= batch.count > 0;
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -697,6 +697,44 @@
     assert!(responses.iter().all(is_true), "{responses:?}");
 }
 
+/// Guards against a buffered response whose processing time grows with its chunks while its bytes stay
+/// below the size limit; the result depends on the number of chunks only.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_chunks_refused() {
+    let script = |_: &str| {
+        let head = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\ntransfer-encoding: chunked\r\n\r\n";
+        let body = "5\r\nnoise\r\n".repeat(20_000);
+        vec![Action::Write(format!("{head}{body}0\r\n\r\n"))]
+    };
+    let endpoint = TestEndpoint::start(Arc::new(script)).await;
+    let entry = start_entry("orders", &[&endpoint]).await;
+    let response = call(entry, ORDER).await;
+    let status: String = response.chars().take(12).collect();
+    assert_eq!(status, "HTTP/1.1 502", "{} bytes", response.len());
+}
+
+/// Guards against a request body whose processing time and memory grow with its chunks while its bytes
+/// stay below the size limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_request_chunks_refused() {
+    let endpoint = TestEndpoint::start(Arc::new(|r| vec![ok_response(r, "done")])).await;
+    let entry = start_entry("orders", &[&endpoint]).await;
+    for (chunks, status) in [(1000, "HTTP/1.1 200"), (1100, "HTTP/1.1 413")] {
+        let body = "1\r\nx\r\n".repeat(chunks);
+        let head = "POST /order/1 HTTP/1.1\r\nid: r1\r\nkey: key\r\nhost: host.example\r\nconnection: close";
+        let mut stream = TcpStream::connect(entry).await.unwrap();
+        let request = format!("{head}\r\ntransfer-encoding: chunked\r\n\r\n{body}0\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut response = [0; 12];
+        stream.read_exact(&mut response).await.unwrap();
+        assert_eq!(
+            String::from_utf8_lossy(&response),
+            status,
+            "{chunks} chunks"
+        );
+    }
+}
+
 /// Guards against waiting for the end of a body that belongs to a response without use.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_decline_retried() {
--- a/crates/direct/tests/suite/event_split.rs
+++ b/crates/direct/tests/suite/event_split.rs
@@ -86,3 +86,28 @@
         prop_assert_eq!(splitter.is_empty(), received.len() == bytes.len());
     }
 }
+
+/// Guards against an event that arrives in so many pieces that reading it takes too long, although its
+/// bytes stay below the size limit.
+#[test]
+fn many_pieces_refused() {
+    let mut splitter = Splitter::default();
+    for _ in 0..5000 {
+        splitter.push(b"noise");
+        splitter.take_events(None);
+    }
+    assert!(splitter.is_over_limit());
+}
+
+/// Guards against counting the pieces of earlier events towards the limit of the current one.
+#[test]
+fn pieces_counted_by_event() {
+    let mut splitter = Splitter::default();
+    for _ in 0..5000 {
+        splitter.push(b"data: x\n");
+        assert_eq!(splitter.take_events(None).count, 0);
+        splitter.push(b"\n");
+        assert_eq!(splitter.take_events(None).count, 1);
+        assert!(!splitter.is_over_limit());
+    }
+}
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -2,7 +2,7 @@
 use conf::{Document, Route, ZoneState, id};
 use fault::{ErrorKind, Fault};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize};
@@ -79,11 +79,9 @@
 }
 
 async fn read_parameters(body: Incoming) -> Result<Parameters, Fault> {
-    let bytes = Limited::new(body, MAX_BODY_BYTES)
-        .collect()
+    let bytes = payload::collect(body, MAX_BODY_BYTES)
         .await
-        .map_err(|_| ErrorKind::Malformed)?
-        .to_bytes();
+        .map_err(|_| ErrorKind::Malformed)?;
     if bytes.is_empty() {
         return Ok(Parameters::default());
     }
--- a/crates/entry/src/offer.rs
+++ b/crates/entry/src/offer.rs
@@ -5,6 +5,7 @@
 use fault::{ErrorKind, Fault};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use payload::Allowance;
 use smol_str::SmolStr;
 use tokio::time;
 use wire::{
@@ -103,7 +104,7 @@
 /// # Errors
 ///
 /// Returns an error if the stream to the agent breaks, the body can't be read from the client in
-/// time, or it is longer than `limit` bytes.
+/// time, or it is longer than `limit` bytes or in more frames than [`Allowance`] permits.
 pub(crate) async fn send_body(
     sender: &mut Sender<Frame>,
     buffered: Bytes,
@@ -112,11 +113,13 @@
 ) -> Result<(), Truncation> {
     let mut length = send_bytes(sender, buffered).await?;
     if let Some(mut body) = unread {
+        let unread = usize::try_from(limit.saturating_sub(length)).unwrap_or(usize::MAX);
+        let mut allowance = Allowance::new(unread);
         while let Some(data) = read_chunk(&mut body).await? {
             length += data.len() as u64;
-            if length > limit {
-                return Err(Truncation::Client(ErrorKind::TooLarge));
-            }
+            allowance
+                .take(data.len())
+                .map_err(|_| Truncation::Client(ErrorKind::TooLarge))?;
             send_bytes(sender, data).await?;
         }
     }
--- a/crates/entry/src/prefix.rs
+++ b/crates/entry/src/prefix.rs
@@ -45,10 +45,12 @@
         })
     }
 
-    /// Reads up to the length of the prefix; returns the bytes and whether they are the whole body.
+    /// Reads up to the length of the prefix, or [`payload::MIN_FRAMES`] frames; returns the bytes and whether they are the whole body.
     async fn read_bytes(body: &mut Incoming) -> Result<(Bytes, bool), Fault> {
         let mut bytes = BytesMut::new();
-        while bytes.len() < PREFIX_BYTES {
+        let mut frames = 0;
+        while bytes.len() < PREFIX_BYTES && frames < payload::MIN_FRAMES {
+            frames += 1;
             let Some(frame) = body.frame().await else {
                 return Ok((bytes.freeze(), true));
             };
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use conf::{Page, Position};
 use http::Request;
-use http_body_util::{BodyExt as _, Empty, Limited};
+use http_body_util::Empty;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -104,11 +104,7 @@
                 "HTTP status {}",
                 answer.status()
             );
-            let body = Limited::new(answer.into_body(), ANSWER_LIMIT)
-                .collect()
-                .await
-                .map_err(anyhow::Error::from_boxed)?;
-            Ok(body.to_bytes())
+            Ok(payload::collect(answer.into_body(), ANSWER_LIMIT).await?)
         };
         let bytes = time::timeout(POLL_WAIT + ANSWER_MARGIN, read)
             .await
--- /dev/null
+++ b/crates/payload/src/lib.rs
@@ -0,0 +1,10 @@
+//! Bodies of HTTP messages that are read into memory, with limits on their bytes and their frames.
+//!
+//! A limit in bytes alone does not bound the time to read a body: 1 MiB in chunks of 5 bytes is more
+//! than 200,000 frames.
+
+mod allowance;
+mod collect;
+
+pub use allowance::{Allowance, Exceeded, FRAME_BYTES, MIN_FRAMES};
+pub use collect::{Error, collect};
--- /dev/null
+++ b/crates/payload/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the limits on bodies.
+
+mod frame_limit;
