conf, ctl: warn of entries without effect and of times that contradict the deadline

Cause: `apricot-ctl check` accepted documents whose routes never match, whose services, groups or teams have no effect, or whose times contradict the deadline, and said nothing.

Change: `conf::warnings` lists them; `check` prints them as text and as `warnings` in JSON, `diff` as text only, since its JSON is the patch that is published. The exit code stays that of `conf::check`, by which processes decide.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -15,6 +15,7 @@
 mod verdict;
 mod version;
 mod violation;
+mod warn;
 
 pub use check::check;
 pub use digest::Digest;
@@ -32,3 +33,4 @@
 pub use verdict::{Outcome, Position, Verdict};
 pub use version::{Number, Version};
 pub use violation::Violation;
+pub use warn::warnings;
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -1,8 +1,11 @@
 use clap::{ArgMatches, Command};
-use conf::difference;
+use conf::{difference, warnings};
 use serde_json::{Value, json};
 
-use crate::report::{Code, Report, file_arg, format_arg, read_document};
+use crate::{
+    check::describe_warnings,
+    report::{Code, Report, file_arg, format_arg, read_document},
+};
 
 pub(crate) fn command() -> Command {
     Command::new("diff")
@@ -12,13 +15,15 @@
         .arg(format_arg())
 }
 
-/// Returns the changed fields as text and the merge patch as JSON.
+/// Returns the changed fields and the warnings for the new document as text, and the merge patch as
+/// JSON, which is published as it is.
 pub(crate) fn report(matches: &ArgMatches) -> anyhow::Result<Report> {
     let old = serde_json::to_value(read_document(matches, "old")?)?;
-    let new = serde_json::to_value(read_document(matches, "new")?)?;
+    let document = read_document(matches, "new")?;
+    let new = serde_json::to_value(&document)?;
     let patch = difference(&old, &new).unwrap_or_else(|| json!({}));
-    let mut lines = Vec::new();
-    list_changes("", &patch, &old, &mut lines);
+    let mut lines = list_changes(&patch, &old);
+    lines.extend(describe_warnings(&warnings(&document)));
     Ok(Report {
         code: Code::Done,
         text: lines.join("\n"),
@@ -26,12 +31,20 @@
     })
 }
 
-fn list_changes(path: &str, patch: &Value, old: &Value, lines: &mut Vec<String>) {
+/// Returns one line for each value that a merge patch adds to, removes from or changes in `old`.
+#[must_use]
+pub fn list_changes(patch: &Value, old: &Value) -> Vec<String> {
+    let mut lines = Vec::new();
+    collect_changes("", patch, old, &mut lines);
+    lines
+}
+
+fn collect_changes(path: &str, patch: &Value, old: &Value, lines: &mut Vec<String>) {
     match (patch, old) {
         (Value::Object(changes), Value::Object(before)) => {
             for (name, change) in changes {
                 let path = format!("{path}{}{name}", if path.is_empty() { "" } else { "." });
-                list_changes(
+                collect_changes(
                     &path,
                     change,
                     before.get(name).unwrap_or(&Value::Null),
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -37,7 +37,7 @@
 
 impl Report {
     /// Prints the report in the format that [`format_arg`] selects.
-    pub(crate) fn print(&self, matches: &ArgMatches) {
+    pub fn print(&self, matches: &ArgMatches) {
         let format = matches.get_one::<String>("format").map(String::as_str);
         match format {
             Some("json") => println!("{}", self.json),
@@ -47,7 +47,8 @@
 }
 
 /// Returns the argument that selects the output format.
-pub(crate) fn format_arg() -> Arg {
+#[must_use]
+pub fn format_arg() -> Arg {
     Arg::new("format")
         .long("format")
         .value_name("FORM")
@@ -57,7 +58,8 @@
 }
 
 /// Returns an argument that takes the path of a file.
-pub(crate) fn file_arg(name: &'static str, help: &'static str) -> Arg {
+#[must_use]
+pub fn file_arg(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .value_name("FILE")
         .value_parser(value_parser!(PathBuf))
@@ -66,10 +68,11 @@
 
 /// Reads the file that an argument names and returns its path and text; `None` if the
 /// argument is missing.
-pub(crate) fn read_file(
-    matches: &ArgMatches,
-    name: &str,
-) -> anyhow::Result<Option<(String, String)>> {
+///
+/// # Errors
+///
+/// Returns an error that names the file if it cannot be read.
+pub fn read_file(matches: &ArgMatches, name: &str) -> anyhow::Result<Option<(String, String)>> {
     let Some(path) = matches.get_one::<PathBuf>(name) else {
         return Ok(None);
     };
--- a/crates/ctl/tests/suite/offline_commands.rs
+++ b/crates/ctl/tests/suite/offline_commands.rs
@@ -73,6 +73,50 @@
     insta::assert_snapshot!(all.join("\n"));
 }
 
+/// Guards against a valid document whose entries have no effect being accepted without a word.
+#[tokio::test]
+async fn warnings_of_document() {
+    let routes = r#"{ "path": "/v1", "repeatable": true }"#;
+    let with_routes = |more: &str| DOCUMENT.replace(routes, &format!("{routes}{more}"));
+    let with_policy = |policy: &str| DOCUMENT.replacen('{', &format!("{{\"policy\":{policy},"), 1);
+    let group = r#""groups": { "g": { "service": "s", "ranks": 1, "layers": 1, "experts": 1, "slots": 1 } },"#;
+    let cases = [
+        (with_routes(r#", { "path": "/v1/", "repeatable": true }"#), vec!["services.s.routes[0]"]),
+        (with_routes(r#", { "path": "/v2?a", "repeatable": true }"#), vec!["services.s.routes[1]"]),
+        (with_routes(r#", { "path": "/v1/", "method": "GET", "repeatable": true }"#), vec![]),
+        (DOCUMENT.replace(routes, ""), vec!["services.s.routes"]),
+        (
+            DOCUMENT.replace("\"services\": {", r#""services": { "r": { "kind": "group", "routes": [{ "path": "/r", "repeatable": true }] },"#),
+            vec!["services.r"],
+        ),
+        (
+            DOCUMENT.replace("\"plain\"", "\"group\"").replace("\"endpoints\"", &format!("{group} \"endpoints\"")),
+            vec!["groups.g"],
+        ),
+        (with_policy(r#"{ "deadline": "2s", "queue_time": "2s" }"#), vec!["policy.queue_time"]),
+        (with_policy(r#"{ "deadline": "2s", "stall": "3s" }"#), vec!["policy.stall"]),
+        (with_policy(r#"{ "deadline": "2s", "retry_horizon": "1s" }"#), vec!["policy.retry_horizon"]),
+    ];
+    for (text, expected) in cases {
+        let document = conf::parse("d", &text).unwrap();
+        assert_eq!(conf::check(&document), [], "{text}");
+        let found: Vec<_> = conf::warnings(&document)
+            .into_iter()
+            .map(|w| w.path)
+            .collect();
+        // The team of the document has no key.
+        assert_eq!(
+            found
+                .iter()
+                .filter(|path| *path != "teams.t.keys")
+                .collect::<Vec<_>>(),
+            expected,
+            "{text}"
+        );
+        assert!(found.iter().any(|path| path == "teams.t.keys"), "{text}");
+    }
+}
+
 #[tokio::test]
 async fn verdicts_of_log() {
     let document: serde_json::Value = conf::parse("d", DOCUMENT).unwrap();
