fleet, platform: check of an `op/config` document before it is sent

Cause: entries take each document that decodes, also one with hidden routes, missing services or limits that contradict each other; operators saw this only by its effect on clients.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! order; its [`View`] holds the configuration, endpoints and zones in force. A [`Follower`] updates
 //! the replica from a [`Source`], the interface to the store.
 
+pub mod check;
 mod duty;
 mod endpoint;
 mod follower;
