sched, direct: admission by rank, shares of teams, retry times

Cause: a burst of the least urgent kind fills the engines, passes get longer than the gap target, and urgent requests are late or refused with the others (docs/SCHEDULING.md). The balancer passes them, and refusals state the computed time; a log line and `apricot_direct_outranked_total` by level tell of them. Levels and the comfortable load are not connected yet (`Call::rank`, `Balancer::comfortable_load`), so all decisions are as before.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -11,11 +11,12 @@
 use fault::{ErrorKind, Fault};
 use fleet::{Registration, View};
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use sched::{Admission, Demand, Outranked, Refusal, Request};
 use tokio::time::Instant;
 
 use crate::{
-    Admission, Blame, Bounds, Budget, Demand, Departures, Health, Limits, Loads, Part, Pauses,
-    Stalls, Suspects, cold, departures::Incarnation, suspects::Fingerprint,
+    Blame, Bounds, Budget, Departures, Health, Limits, Loads, Part, Pauses, Stalls, Suspects, cold,
+    departures::Incarnation, suspects::Fingerprint,
 };
 
 /// Pending prompt tokens that weigh as much in an endpoint's score as one generating request.
@@ -80,6 +81,16 @@
     pub connected: &'a HashSet<id::Endpoint>,
     /// Time left until the client's deadline.
     pub time_left: Duration,
+    /// Level of the request's rank in its service; 0 is the most urgent.
+    pub level: u8,
+    /// Number of levels of the service.
+    pub levels: u8,
+    /// Team of the client, if known.
+    pub team: Option<&'a id::Team>,
+    /// Whether the client sends the request again after a refusal.
+    pub returning: bool,
+    /// Longest pause between two events of a stream for which its response is on time, if any.
+    pub gap_target: Option<Duration>,
 }
 
 /// Endpoint chosen for an attempt.
@@ -157,6 +168,8 @@
     pauses: Pauses,
     limits: Limits,
     admission: Admission,
+    /// Refusal by rank of the last attempt.
+    outranked: Option<Outranked>,
     cold: cold::Limiter,
     budget: Budget,
     suspects: Suspects,
@@ -190,6 +203,7 @@
             pauses: Pauses::default(),
             limits: Limits::default(),
             admission: Admission::default(),
+            outranked: None,
             cold: cold::Limiter::new(seed),
             budget,
             suspects: Suspects::default(),
@@ -209,6 +223,7 @@
     ///
     /// Returns a fault that states "not run" if no endpoint may get the request now.
     pub fn choose(&mut self, view: &View, attempt: &Attempt<'_>, now: Instant) -> Choice {
+        self.outranked = None;
         if !self.suspects.allows(attempt.fingerprint, now) {
             return Err(ErrorKind::Suspect.into());
         }
@@ -267,7 +282,9 @@
         for (id, known) in view.available(attempt.service, now) {
             let address = known.endpoint.address;
             let load = self.loads.total(id, now);
-            demand.requests += load.requests - self.loads.own_requests(id);
+            let own_requests = self.loads.own_requests(id);
+            demand.own_requests += own_requests;
+            demand.requests += load.requests - own_requests;
             let is_group_lost =
                 self.groups.is_broken(address, now) || self.is_in(&silent_groups, address);
             obstacles.lost_groups |= is_group_lost;
@@ -288,7 +305,10 @@
             let slots = known.endpoint.slots.max(1);
             let limit = self.limits.rate(id, incarnation);
             // What an endpoint with a limit runs takes no room from the others, and it has none to offer.
-            demand.slots += limit.map_or(slots, |_| slots.min(load.requests));
+            let offered = limit.map_or(slots, |_| slots.min(load.requests));
+            demand.slots += offered;
+            demand.limit += limit.map_or(slots + MAX_WAITING, |_| offered);
+            demand.comfortable_load += self.comfortable_load(address, offered, attempt, now);
             if attempt.excluded.contains(id) {
                 continue;
             }
@@ -330,17 +350,8 @@
                 best = Some((score, placement));
             }
         }
-        if has_engine
-            && best.is_some()
-            && !self
-                .admission
-                .admit(attempt.service, demand, self.known_entries(), now)
-        {
-            let fault = match obstacles.lost_groups {
-                true => self.fail_unavailable(ErrorKind::Overloaded, attempt),
-                false => self.fail_overloaded(ErrorKind::Overloaded),
-            };
-            return Err(fault.detail("more requests are in demand than slots"));
+        if has_engine && best.is_some() {
+            self.admit(attempt, &demand, obstacles.lost_groups, now)?;
         }
         if let Some((_, placement)) = best {
             return Ok(Some(placement));
@@ -349,6 +360,73 @@
             .map_or(Ok(None), Err)
     }
 
+    /// Decides whether a request may be sent, given what is in demand.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault that states "not run" if it is refused.
+    fn admit(
+        &mut self,
+        attempt: &Attempt<'_>,
+        demand: &Demand,
+        lost_groups: bool,
+        now: Instant,
+    ) -> Result<(), Fault> {
+        // A request that was sent before has been admitted by its rank, and counted for its team.
+        let request = Request {
+            service: attempt.service,
+            level: if attempt.is_retry { 0 } else { attempt.level },
+            levels: attempt.levels,
+            team: attempt.team.filter(|_| !attempt.is_retry),
+            returning: attempt.returning,
+        };
+        let draw = match attempt.levels {
+            // Without a decision by rank, no random number is used.
+            0 | 1 => 0.0,
+            _ => self.random.random(),
+        };
+        let entries = self.known_entries();
+        let admitted = self.admission.admit(&request, demand, entries, draw, now);
+        match admitted {
+            Ok(()) => Ok(()),
+            Err(Refusal::Rationed) => {
+                let fault = match lost_groups {
+                    true => self.fail_unavailable(ErrorKind::Overloaded, attempt),
+                    false => self.fail_overloaded(ErrorKind::Overloaded),
+                };
+                Err(fault.detail("more requests are in demand than slots"))
+            }
+            Err(Refusal::Outranked(outranked)) => {
+                self.outranked = Some(outranked);
+                let Outranked {
+                    level, load, bound, ..
+                } = outranked;
+                let detail = format!(
+                    "more urgent requests have priority: level {level}, load {load:.0}, bound {bound:.0}"
+                );
+                let fault = Fault::new(ErrorKind::Overloaded).retry_after(outranked.retry_after);
+                Err(fault.detail(detail))
+            }
+        }
+    }
+
+    /// Returns the part of the comfortable load that an engine with `slots` slots contributes.
+    #[allow(clippy::unused_self)]
+    fn comfortable_load(
+        &self,
+        _engine: SocketAddr,
+        slots: u32,
+        _attempt: &Attempt<'_>,
+        _now: Instant,
+    ) -> f64 {
+        f64::from(slots)
+    }
+
+    /// Returns the refusal if the last attempt was refused because of its rank.
+    pub const fn take_outranked(&mut self) -> Option<Outranked> {
+        self.outranked.take()
+    }
+
     /// Returns the fault if no endpoint can be chosen, unless none is available at all.
     fn fail_full(
         &mut self,
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use node::Shutdown;
+use sched::Outranked;
 use smol_str::SmolStr;
 use tokio::{
     sync::watch,
@@ -26,7 +27,7 @@
     dispatch::{Dispatch, log_outcome},
     forward::build_request,
     metadata,
-    metrics::Metrics,
+    metrics::{MAX_LEVEL, Metrics},
     pool::{self, Connection, Error, Pool, Received},
     response::{build_error_response, build_response},
     resumption::Resumption,
@@ -54,6 +55,10 @@
 /// Least remaining time with which a retry is sent; with less it is not expected to succeed.
 pub(crate) const MIN_RETRY_TIME: Duration = Duration::from_millis(60);
 
+/// Time by which the timeout of a request is shorter than that of its route if the client has been
+/// refused before; refusals state a longer retry time.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(300);
+
 /// State that all requests share.
 ///
 /// Lock order: `balancer` is the only lock and is never held across an await.
@@ -154,6 +159,8 @@
     body: Bytes,
     fingerprint: Fingerprint,
     arrived: Instant,
+    /// Whether the client sends the request again after a refusal.
+    returning: bool,
     deadline: Instant,
     /// Time by which the response must have started; for streams, shortly before the client disconnects.
     start_by: Instant,
@@ -220,6 +227,7 @@
             return Err(Fault::new(ErrorKind::Unauthenticated).detail(detail));
         }
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let returning = route.timeout.saturating_sub(timeout) >= MIN_RETURN_TIME;
         let deadline = arrived + timeout.saturating_sub(DEADLINE_MARGIN);
         let first_event_by = route
             .event_timeout
@@ -239,6 +247,7 @@
             head,
             body,
             arrived,
+            returning,
             deadline,
             start_by: first_event_by.map_or(deadline, |by| by.min(deadline)),
             tried: Vec::new(),
@@ -298,6 +307,7 @@
             Repeat::Forbidden => HashSet::new(),
             Repeat::Allowed | Repeat::Resumable => self.context.pool.connected_endpoints(),
         };
+        let (level, levels) = self.rank();
         let attempt = Attempt {
             service: &self.service,
             prompt_tokens: self.request.prompt_tokens,
@@ -307,14 +317,31 @@
             connected: &connected,
             is_retry: !self.tried.is_empty(),
             time_left: self.time_left(),
+            level,
+            levels,
+            team: self.team.as_ref(),
+            returning: self.returning,
+            gap_target: self.route.gap_target,
         };
         let view = self.context.view.borrow().clone();
         let now = Instant::now();
         if now >= self.start_by {
             return Err(ErrorKind::DeadlineExpired.into());
         }
-        self.context
-            .with_balancer(|balancer| balancer.choose(&view, &attempt, now))
+        let (choice, outranked) = self.context.with_balancer(|balancer| {
+            let choice = balancer.choose(&view, &attempt, now);
+            (choice, balancer.take_outranked())
+        });
+        if let Some(outranked) = outranked {
+            self.record_outranked(&outranked);
+        }
+        choice
+    }
+
+    /// Returns the level of the request in its service, and the number of levels.
+    #[allow(clippy::unused_self)]
+    const fn rank(&self) -> (u8, u8) {
+        (0, 1)
     }
 
     /// Returns the fault for the client, which states "not run" only if no endpoint can have run the
@@ -614,6 +641,27 @@
         );
     }
 
+    /// Logs and counts a refusal because of the request's rank.
+    fn record_outranked(&self, outranked: &Outranked) {
+        let level = outranked.level.min(MAX_LEVEL);
+        self.context
+            .metrics
+            .outranked
+            .with_label_values(&[level.to_string()])
+            .inc();
+        log::info!(
+            request:% = self.request.id,
+            route:% = self.route.name,
+            service:% = self.service,
+            level,
+            load = outranked.load.round(),
+            bound = outranked.bound.round(),
+            returning = self.returning,
+            retry_after_ms = millis(outranked.retry_after);
+            "more urgent requests have priority"
+        );
+    }
+
     /// Counts the client request and its response times in the metrics.
     fn record_response(&self, outcome: &str) {
         let age = self.arrived.elapsed().as_secs_f64();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,7 +5,6 @@
 //! reports between clients, endpoints, the platform and other entries. [`Protocol`] is the interface
 //! to the platform's HTTP headers, and [`fleet::Source`] that to the platform's store.
 
-mod admission;
 mod balancer;
 mod blame;
 mod body;
@@ -39,7 +38,6 @@
 mod watching;
 mod window;
 
-pub use admission::{Admission, Demand};
 pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
 pub use blame::{Blame, Crash, News, Part, Refusal, Verdict};
 pub use budget::Budget;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -6,6 +6,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
 ];
 
+/// Largest level in the label of a metric; higher ones count for it.
+pub(crate) const MAX_LEVEL: u8 = 9;
+
 /// Prometheus metrics of an entry.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -13,6 +16,8 @@
     pub(crate) requests: IntCounterVec,
     /// Attempts at endpoints by outcome.
     pub(crate) sends: IntCounterVec,
+    /// Client requests that were refused because more urgent ones have priority, by level.
+    pub(crate) outranked: IntCounterVec,
     /// Time from a request's arrival to the first byte of its response, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from a request's arrival to the end of its response, in seconds.
@@ -59,6 +64,11 @@
                 "Sends to endpoints by outcome.",
                 "outcome",
             )?,
+            outranked: counter(
+                "apricot_direct_outranked_total",
+                "Requests refused for more urgent ones by level.",
+                "level",
+            )?,
             first_byte: histogram(
                 "apricot_direct_first_byte_seconds",
                 "Arrival to first byte.",
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -61,6 +61,12 @@
                 connected: &connected,
                 is_retry: true,
                 time_left,
+                // The stream has started, so it is not refused because of its rank.
+                level: 0,
+                levels: 1,
+                team: None,
+                returning: false,
+                gap_target: self.route.gap_target,
             };
             let view = self.context.view.borrow().clone();
             let choice = self
--- a/crates/direct/tests/suite/demand_rationing.rs
+++ b/crates/direct/tests/suite/demand_rationing.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
-use direct::{Admission, Balancer, Demand, Load, Outcome};
+use direct::{Balancer, Load, Outcome};
 use fault::{ErrorKind, Run};
+use sched::{Admission, Demand, Request};
 use tokio::time::{self, Instant};
 
 use crate::support::{SLOTS, attempt, balancer, view};
@@ -13,9 +14,17 @@
     for _ in 0..100 {
         admission.record_duration(&service, duration, Instant::now());
     }
+    let request = Request {
+        service: &service,
+        level: 0,
+        levels: 1,
+        team: None,
+        returning: false,
+    };
     let mut admitted = 0;
     for _ in 0..10 * rate {
-        admitted += u32::from(admission.admit(&service, demand, entries, Instant::now()));
+        let result = admission.admit(&request, &demand, entries, 0.5, Instant::now());
+        admitted += u32::from(result.is_ok());
         time::advance(Duration::from_secs(1) / rate).await;
     }
     f64::from(admitted) / 10.0
@@ -29,6 +38,7 @@
     let demand = Demand {
         slots: 64 * 6,
         requests: 930,
+        ..Demand::default()
     };
     let admitted = admitted_rate(10, demand, 99, Duration::from_secs(2)).await;
     let capacity = 64.0 * 6.0 / 2.0;
@@ -48,6 +58,7 @@
     let demand = Demand {
         slots: 192 * 6,
         requests: 1000,
+        ..Demand::default()
     };
     let admitted = admitted_rate(20, demand, 99, Duration::from_secs(2)).await;
     assert!((admitted - 20.0).abs() < 0.2, "{admitted} of 20 a second");
@@ -58,6 +69,7 @@
     let demand = Demand {
         slots: 64 * 6,
         requests: 930,
+        ..Demand::default()
     };
     let admitted = admitted_rate(1, demand, 99, Duration::from_secs(2)).await;
     assert!(admitted >= 0.9, "{admitted} of 1 a second");
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod health_ejection;
 mod load_reports;
 mod prompt_parts;
+mod rank_refusal;
 mod retry_budget;
 mod settings_errors;
 mod support;
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -148,5 +148,10 @@
         connected: NO_CONNECTIONS.get_or_init(HashSet::new),
         is_retry: false,
         time_left: Duration::from_secs(8),
+        level: 0,
+        levels: 1,
+        team: None,
+        returning: false,
+        gap_target: None,
     }
 }
