Merge the admission by rank; the forecast gives what it admits

Change: calls pass their level and the number of levels; the comfortable load of each group bounds the lowest level. The forecast takes half of the excess of a pass at full slots as independent of the load (104 ms at 6 and 127 ms at 10 requests per engine under one skew, base 35 ms), and remembers no excess from less than a quarter of the slots.

--- a/crates/direct/src/balancer/passes.rs
+++ b/crates/direct/src/balancer/passes.rs
@@ -4,7 +4,7 @@
 
 use conf::id;
 use fleet::{Configuration, Engine, View};
-use sched::{Forecast, Partition, Ranks};
+use sched::{Forecast, Load, Partition, Ranks};
 use tokio::time::Instant;
 
 use super::{Balancer, Placement};
@@ -34,8 +34,10 @@
     pub(super) fn remove_expired(&mut self, now: Instant) {
         self.forecast.remove_expired(now);
         let forecast = &self.forecast;
-        self.notices
-            .retain(|(service, group), _| forecast.cost(service, group.as_ref(), now).is_some());
+        self.notices.retain(|(service, group), _| {
+            let excess = forecast.peak_excess(service, group.as_ref(), now);
+            excess.is_some()
+        });
     }
 
     /// Returns whether the comfortable load of a group was not calculated within the last 50 ms.
@@ -87,22 +89,16 @@
     pub service: id::Service,
     /// Name of the group, if it is known.
     pub group: Option<group::Name>,
-    /// Time that each request on an engine adds to a pass.
-    pub cost: Duration,
+    /// Highest time of the last 20 s by which passes would exceed their base with all slots taken.
+    pub excess: Duration,
     /// Comfortable load, in requests per engine.
     pub load: f64,
     /// Duration that is predicted for the next pass.
     pub pass: Duration,
 }
 
-/// Sums of a group over its zones, for each engine on average.
-struct Average {
-    slots: f64,
-    requests: f64,
-}
-
 /// Returns the averages of a group; `None` if it has no engine that may get requests.
-fn average(partitions: &[Partition], group: Option<&group::Key>) -> Option<Average> {
+fn average(partitions: &[Partition], group: Option<&group::Key>) -> Option<Load> {
     let own = partitions
         .iter()
         .filter(|partition| partition.group.as_ref() == group);
@@ -113,7 +109,7 @@
             requests + part.requests,
         )
     });
-    (engines > 0).then(|| Average {
+    (engines > 0).then(|| Load {
         slots: f64::from(slots) / f64::from(engines),
         requests: f64::from(requests) / f64::from(engines),
     })
@@ -144,25 +140,27 @@
         let partitions = self.partitions(view, service, now);
         let group = self.groups.group(placement.address).cloned();
         let group = group.as_ref();
-        let Some(Average { slots, requests }) = average(&partitions, group) else {
+        let Some(average) = average(&partitions, group) else {
             return Reading::default();
         };
         let forecast = &mut self.passes.forecast;
-        let error = forecast.record_gap(service, group, engine, gap, requests, now);
+        let error = forecast.record_gap(service, group, engine, gap, average, now);
         let key = (service.clone(), group.cloned());
         if !self.passes.is_check_due(&key, now) {
             let comfort = None;
             return Reading { error, comfort };
         }
-        let load = self.comfortable_load(view, service, group, slots, now);
-        let is_notice = self.passes.record_check(key, slots, load, now);
+        let load = self.comfortable_load(view, service, group, average.slots, now);
+        let is_notice = self.passes.record_check(key, average.slots, load, now);
         let forecast = &self.passes.forecast;
         let comfort = is_notice.then(|| Comfort {
             service: service.clone(),
             group: group.map(|(_, name)| name.clone()),
-            cost: forecast.cost(service, group, now).unwrap_or_default(),
+            excess: forecast
+                .peak_excess(service, group, now)
+                .unwrap_or_default(),
             load,
-            pass: forecast.pass(service, group, engine, requests, now),
+            pass: forecast.pass(service, group, engine, average, now),
         });
         Reading { error, comfort }
     }
@@ -191,6 +189,28 @@
         forecast.comfortable_load(service, group, engine, slots, target, now)
     }
 
+    /// Returns the comfortable load of each group of a service, as a part of its slots.
+    pub(super) fn comfortable_usages(
+        &mut self,
+        view: &View,
+        service: &id::Service,
+        now: Instant,
+    ) -> HashMap<Option<group::Key>, f64> {
+        let partitions = self.partitions(view, service, now);
+        let mut usages = HashMap::new();
+        for partition in partitions.iter() {
+            let group = partition.group.as_ref();
+            if usages.contains_key(&partition.group) {
+                continue;
+            }
+            if let Some(Load { slots, .. }) = average(&partitions, group) {
+                let load = self.comfortable_load(view, service, group, slots, now);
+                usages.insert(partition.group.clone(), load / slots);
+            }
+        }
+        usages
+    }
+
     /// Returns the lowest comfortable load of the groups for which it is known, in requests per engine.
     pub fn lowest_comfortable_load(&mut self, view: &View, now: Instant) -> Option<f64> {
         let configuration = view.configuration.as_ref()?;
@@ -203,7 +223,12 @@
             let partitions = self.partitions(view, service, now);
             for partition in partitions.iter() {
                 let group = partition.group.as_ref();
-                if self.passes.forecast.cost(service, group, now).is_none() {
+                if self
+                    .passes
+                    .forecast
+                    .peak_excess(service, group, now)
+                    .is_none()
+                {
                     continue;
                 }
                 if let Some(average) = average(&partitions, group) {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -95,7 +95,7 @@
             log::info!(
                 service:% = comfort.service,
                 group:% = comfort.group.unwrap_or_default(),
-                cost_us = micros(comfort.cost),
+                excess_ms = millis(comfort.excess),
                 comfortable_load = comfort.load,
                 pass_ms = millis(comfort.pass);
                 "comfortable load of a group has changed"
@@ -178,11 +178,6 @@
     }
 }
 
-/// Returns a duration in whole microseconds.
-fn micros(span: Duration) -> u64 {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
-
 impl Drop for Dispatch {
     fn drop(&mut self) {
         self.record_end(Outcome::Dropped);
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -61,6 +61,11 @@
                 connected: &connected,
                 is_retry: true,
                 time_left,
+                // The stream has started, so it is not refused because of its rank.
+                level: 0,
+                levels: 1,
+                team: None,
+                returning: false,
             };
             let view = self.context.view.borrow().clone();
             let choice = self
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod load_reports;
 mod pass_gaps;
 mod prompt_parts;
+mod rank_refusal;
 mod retry_budget;
 mod settings_errors;
 mod support;
--- a/crates/sched/src/forecast.rs
+++ b/crates/sched/src/forecast.rs
@@ -17,12 +17,15 @@
 const PASS_SPREAD: f64 = 0.75;
 /// Maximum number of gaps of one pass that are kept; the median of so many is hardly different from that of all.
 const MAX_GAPS: usize = 32;
-/// Least load by which the cost of a request is calculated, in requests per engine. A smaller divisor multiplies
-/// the jitter of the delivery.
-const MIN_LOAD: f64 = 1.0;
-/// Time over which the recent cost is averaged, and the longest time between two passes that follow each other.
+/// Part of the excess of a pass at full slots that does not depend on the requests in flight, such as reading
+/// prompts. Under one skew, passes at 6 and at 10 requests per engine lasted 69 and 92 ms beyond their base.
+const FIXED_SHARE: f64 = 0.5;
+/// Least load from which the excess at full slots is remembered, as a part of the slots: less load says little of
+/// it, and a load that is known late seems small while it grows.
+const MIN_LOAD: f64 = 0.25;
+/// Time over which the recent excess is averaged, and the longest time between two passes that follow each other.
 const RECENT: Duration = Duration::from_millis(500);
-/// Time for which the highest cost counts.
+/// Time for which the highest excess counts.
 const MEMORY: Duration = Duration::from_secs(20);
 /// Least and greatest age of a prediction when it is compared with a pass.
 const PREDICTION_AGE: (Duration, Duration) =
@@ -34,9 +37,9 @@
 
 /// Predicts how long the passes of each group of engines last.
 ///
-/// A pass lasts a published base and a cost for each request in flight on an engine, averaged over the group. The
-/// cost depends on how evenly the experts are loaded, and is measured by the gaps between the events of streams.
-/// Engines of a service whose group is not known count as one group.
+/// A pass lasts a published base and an excess, of which a part grows with the requests in flight on an engine,
+/// averaged over the group. The excess depends on how evenly the experts are loaded, and is measured by the gaps
+/// between the events of streams. Engines of a service whose group is not known count as one group.
 #[derive(Clone, Debug, Default)]
 pub struct Forecast {
     groups: HashMap<group::Key, Record>,
@@ -51,7 +54,8 @@
         Self::default()
     }
 
-    /// Records the time between two events of a stream, while the group had `load` requests per engine.
+    /// Records the time between two events of a stream, while the group had `load` requests per engine with
+    /// `slots` each.
     ///
     /// Returns, at most once for each pass, how far its duration was from what had been predicted 100 to 300 ms
     /// before it.
@@ -61,63 +65,64 @@
         group: Option<&group::Key>,
         engine: &Engine,
         gap: Duration,
-        load: f64,
+        Load { requests, slots }: Load,
         now: Instant,
     ) -> Option<Duration> {
         let base = base(engine);
-        if gap > MAX_GAP || gap < base.mul_f64(MIN_GAP) || load <= 0.0 {
+        if gap > MAX_GAP || gap < base.mul_f64(MIN_GAP) || requests <= 0.0 || slots <= 0.0 {
             return None;
         }
         let record = match group {
             Some(key) => self.groups.entry(key.clone()).or_default(),
             None => self.unknown.entry(service.clone()).or_default(),
         };
-        let error = record.close_pass(engine, load, now);
-        let cost = (gap.as_secs_f64() - base.as_secs_f64()) / load.max(MIN_LOAD);
+        let error = record.close_pass(engine, Load { requests, slots }, now);
+        let excess = (gap.as_secs_f64() - base.as_secs_f64()) / share_at(requests / slots);
         let open = record.open.get_or_insert_with(|| Open {
             at: now,
             until: now + base.mul_f64(PASS_SPREAD),
+            is_loaded: requests >= slots * MIN_LOAD,
             gaps: Vec::new(),
         });
         if open.gaps.len() < MAX_GAPS {
-            open.gaps.push((gap, cost.max(min_cost(engine))));
+            open.gaps.push((gap, excess.max(min_excess(engine, slots))));
         }
         error
     }
 
-    /// Returns the predicted duration of a pass with `load` requests per engine.
+    /// Returns the predicted duration of a pass under a load.
     ///
-    /// It follows from the cost of the last 0.5 s, else from the highest one of the last 20 s, else from the
-    /// published one.
+    /// It follows from the excess of the last 0.5 s, else from the highest one of the last 20 s, else from the
+    /// published time that each request adds.
     #[must_use]
     pub fn pass(
         &self,
         service: &id::Service,
         group: Option<&group::Key>,
         engine: &Engine,
-        load: f64,
+        load: Load,
         now: Instant,
     ) -> Duration {
         let record = self.record(service, group);
-        let cost = record.and_then(|r| r.recent_cost(now).or_else(|| r.highest_cost(now)));
-        predict(engine, cost, load)
+        let excess = record.and_then(|r| r.recent_excess(now).or_else(|| r.highest_excess(now)));
+        predict(engine, excess, load)
     }
 
-    /// Returns the highest time that a request added to two consecutive passes or more within the last 20 s;
-    /// `None` if it is not known.
+    /// Returns the highest time by which two consecutive passes or more within the last 20 s would have exceeded
+    /// their base with all slots taken; `None` if it is not known.
     #[must_use]
-    pub fn cost(
+    pub fn peak_excess(
         &self,
         service: &id::Service,
         group: Option<&group::Key>,
         now: Instant,
     ) -> Option<Duration> {
-        let cost = self.record(service, group)?.highest_cost(now)?;
-        Some(Duration::from_secs_f64(cost))
+        let excess = self.record(service, group)?.highest_excess(now)?;
+        Some(Duration::from_secs_f64(excess))
     }
 
-    /// Returns the largest number of requests per engine at which passes meet a gap target at the highest cost of
-    /// the last 20 s, between half of the slots and all slots; all slots if that cost is not known.
+    /// Returns the largest number of requests per engine at which passes meet a gap target at the highest excess
+    /// of the last 20 s, between half of the slots and all slots; all slots if that excess is not known.
     ///
     /// `slots` is the average per engine of the group.
     #[must_use]
@@ -130,17 +135,16 @@
         gap_target: Duration,
         now: Instant,
     ) -> f64 {
-        let Some(cost) = self.cost(service, group, now) else {
+        let Some(excess) = self.peak_excess(service, group, now) else {
             return slots;
         };
-        let cost = cost.as_secs_f64().max(min_cost(engine));
+        let excess = excess.as_secs_f64().max(min_excess(engine, slots));
         let room = gap_target.mul_f64(COMFORT).saturating_sub(base(engine));
-        if cost <= 0.0 {
+        if excess <= 0.0 {
             return slots;
         }
-        (room.as_secs_f64() / cost)
-            .min(slots)
-            .max(slots * MIN_COMFORT)
+        let usage = (room.as_secs_f64() / excess - FIXED_SHARE) / (1.0 - FIXED_SHARE);
+        slots * usage.clamp(MIN_COMFORT, 1.0)
     }
 
     /// Removes the groups of which no gap was recorded within the last 20 s.
@@ -162,13 +166,22 @@
     }
 }
 
-/// Passes of one group; costs are in seconds per request.
+/// Average load of the engines of a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests in flight per engine.
+    pub requests: f64,
+    /// Slots per engine.
+    pub slots: f64,
+}
+
+/// Passes of one group; the excess of a pass is in seconds, with all slots taken.
 #[derive(Clone, Debug, Default)]
 struct Record {
     open: Option<Open>,
-    /// Times and costs of the passes of the last 0.5 s.
+    /// Times and excesses of the passes of the last 0.5 s.
     recent: VecDeque<(Instant, f64)>,
-    /// Costs that two consecutive passes had at least, in descending order, and the time of the later pass.
+    /// Excesses that two consecutive passes had at least, in descending order, and the time of the later pass.
     highest: VecDeque<(Instant, f64)>,
     /// Predicted durations and the times of the predictions.
     predictions: VecDeque<(Instant, Duration)>,
@@ -181,12 +194,14 @@
     at: Instant,
     /// Time from which on gaps belong to the next pass.
     until: Instant,
-    /// Gaps and the costs that follow from them.
+    /// Whether the group has enough requests for the excess to be remembered.
+    is_loaded: bool,
+    /// Gaps and the excesses that follow from them.
     gaps: Vec<(Duration, f64)>,
 }
 
 impl Open {
-    /// Returns the median of the gaps, the lower one of two, and its cost.
+    /// Returns the median of the gaps, the lower one of two, and its excess.
     fn median(&self) -> Option<(Duration, f64)> {
         let mut gaps = self.gaps.clone();
         gaps.sort_unstable_by_key(|(gap, _)| *gap);
@@ -197,16 +212,17 @@
 impl Record {
     /// Ends the open pass if its time is over, and predicts the next ones; returns how far it was from its own
     /// prediction.
-    fn close_pass(&mut self, engine: &Engine, load: f64, now: Instant) -> Option<Duration> {
+    fn close_pass(&mut self, engine: &Engine, load: Load, now: Instant) -> Option<Duration> {
         let open = self.open.take_if(|open| now >= open.until)?;
-        let (measured, cost) = open.median()?;
-        if let Some(lasting) = self.lasting_cost(open.at, cost) {
+        let (measured, excess) = open.median()?;
+        let lasting = self.lasting_excess(open.at, excess);
+        if let Some(lasting) = lasting.filter(|_| open.is_loaded) {
             while self.highest.back().is_some_and(|(_, c)| *c <= lasting) {
                 self.highest.pop_back();
             }
             self.highest.push_back((open.at, lasting));
         }
-        self.recent.push_back((open.at, cost));
+        self.recent.push_back((open.at, excess));
         drop_before(&mut self.recent, now, RECENT);
         drop_before(&mut self.highest, now, MEMORY);
         drop_before(&mut self.predictions, now, RECENT);
@@ -217,47 +233,49 @@
         };
         let predicted = self.predictions.iter().rev().find(is_comparable);
         let error = predicted.map(|(_, predicted)| predicted.abs_diff(measured));
-        if let Some(cost) = self.recent_cost(now) {
-            let prediction = predict(engine, Some(cost), load);
+        if let Some(excess) = self.recent_excess(now) {
+            let prediction = predict(engine, Some(excess), load);
             self.predictions.push_back((now, prediction));
         }
         error
     }
 
-    /// Returns the cost that a pass and the one before it had at least.
-    fn lasting_cost(&self, at: Instant, cost: f64) -> Option<f64> {
+    /// Returns the excess that a pass and the one before it had at least.
+    fn lasting_excess(&self, at: Instant, excess: f64) -> Option<f64> {
         let (previous_at, previous) = self.recent.back()?;
-        (at.saturating_duration_since(*previous_at) <= RECENT).then(|| cost.min(*previous))
+        (at.saturating_duration_since(*previous_at) <= RECENT).then(|| excess.min(*previous))
     }
 
-    /// Returns the open pass and its cost if no more gaps of it are expected.
+    /// Returns the open pass and its excess if no more gaps of it are expected.
     fn ended_pass(&self, now: Instant) -> Option<(Instant, f64)> {
         let open = self.open.as_ref().filter(|open| now >= open.until)?;
         Some((open.at, open.median()?.1))
     }
 
-    /// Returns the mean cost of the last 0.5 s.
-    fn recent_cost(&self, now: Instant) -> Option<f64> {
+    /// Returns the mean excess of the last 0.5 s.
+    fn recent_excess(&self, now: Instant) -> Option<f64> {
         let passes = self.recent.iter().copied().chain(self.ended_pass(now));
         let is_recent = |(at, _): &(Instant, f64)| now.saturating_duration_since(*at) <= RECENT;
         let (sum, count) = passes
             .filter(is_recent)
-            .fold((0.0, 0_u32), |(sum, count), (_, cost)| {
-                (sum + cost, count + 1)
+            .fold((0.0, 0_u32), |(sum, count), (_, excess)| {
+                (sum + excess, count + 1)
             });
         (count > 0).then(|| sum / f64::from(count))
     }
 
-    /// Returns the highest cost of the last 20 s that two consecutive passes had.
-    fn highest_cost(&self, now: Instant) -> Option<f64> {
+    /// Returns the highest excess of the last 20 s that two consecutive passes had.
+    fn highest_excess(&self, now: Instant) -> Option<f64> {
+        let is_loaded = self.open.as_ref().is_some_and(|open| open.is_loaded);
         let ended = self
             .ended_pass(now)
-            .and_then(|(at, cost)| Some((at, self.lasting_cost(at, cost)?)));
+            .filter(|_| is_loaded)
+            .and_then(|(at, excess)| Some((at, self.lasting_excess(at, excess)?)));
         let is_remembered = |(at, _): &(Instant, f64)| now.saturating_duration_since(*at) < MEMORY;
         // The first one that is remembered is the highest one.
         let remembered = self.highest.iter().copied().find(is_remembered);
-        let costs = remembered.into_iter().chain(ended.filter(is_remembered));
-        costs.map(|(_, cost)| cost).reduce(f64::max)
+        let excesses = remembered.into_iter().chain(ended.filter(is_remembered));
+        excesses.map(|(_, excess)| excess).reduce(f64::max)
     }
 
     /// Returns the time of the last pass.
@@ -282,12 +300,20 @@
     engine.step_time * engine.steps_per_pass
 }
 
-/// Returns the published time that a request adds to a pass, in seconds.
-fn min_cost(engine: &Engine) -> f64 {
-    (engine.step_time_per_request * engine.steps_per_pass).as_secs_f64()
+/// Returns the published time that as many requests as slots add to a pass, in seconds.
+fn min_excess(engine: &Engine, slots: f64) -> f64 {
+    (engine.step_time_per_request * engine.steps_per_pass).as_secs_f64() * slots
 }
 
-fn predict(engine: &Engine, cost: Option<f64>, load: f64) -> Duration {
-    let cost = cost.unwrap_or(0.0).max(min_cost(engine));
-    base(engine) + Duration::from_secs_f64(cost * load.max(0.0))
+/// Returns the part of the excess at full slots that a pass has when a part `usage` of the slots is taken.
+fn share_at(usage: f64) -> f64 {
+    FIXED_SHARE + (1.0 - FIXED_SHARE) * usage
+}
+
+fn predict(engine: &Engine, excess: Option<f64>, Load { requests, slots }: Load) -> Duration {
+    if requests <= 0.0 || slots <= 0.0 {
+        return base(engine);
+    }
+    let excess = excess.unwrap_or(0.0).max(min_excess(engine, slots));
+    base(engine) + Duration::from_secs_f64(excess * share_at(requests / slots))
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,10 +2,15 @@
 //!
 //! Nothing here does I/O or reads a clock: callers pass the time, and random numbers where one is needed.
 
+mod admission;
 mod forecast;
 mod partition;
 mod rank;
+mod share;
+mod trend;
 
-pub use forecast::Forecast;
+pub use admission::{Admission, Demand, Outranked, Refusal, Request};
+pub use forecast::{Forecast, Load};
 pub use partition::Partition;
 pub use rank::{Rank, Ranks};
+pub use share::Shares;
