sched: choice of the zone by excess load, and by response times

Cause: the choice of a zone was a constant in an endpoint's score (docs/design/locality.md). Change: Locality computes the share of the requests that leaves the zone from the load of partitions, in steps of a tenth each 100 ms; Latency predicts response times of plain services.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! Nothing here does I/O or reads a clock: callers pass the time, and random numbers where one is needed.
 
+pub mod latency;
+mod locality;
 mod partition;
 
+pub use latency::Latency;
+pub use locality::{Balance, Decision, Locality};
 pub use partition::Partition;
--- a/crates/sched/tests/suite/main.rs
+++ b/crates/sched/tests/suite/main.rs
@@ -1,1 +1,3 @@
 //! Tests of the decisions under load.
+
+mod zone_spill;
