direct: requests leave the zone only by excess load or predicted time

Cause: a penalty of 0.3 requests for endpoints in other zones, below the random part of the score of 0.6, sent requests out of the zone at equal load, and bounded nothing at unequal load. Change: find_best collects the usable endpoints by group and zone in one pass and keeps the best candidates of each; Locality or predicted times choose the zone, and other endpoints take over if none there can take the request. Scoring moves to its own module. Log line, gauge and counter for what leaves; "sent" says whether the endpoint is in another zone; the configuration gives the delay between zones.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,5 +1,8 @@
 mod exchange;
 mod outcomes;
+mod partitions;
+mod scoring;
+mod spill;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -9,34 +12,21 @@
 
 use conf::id;
 use fault::{ErrorKind, Fault};
-use fleet::{Registration, View};
+use fleet::View;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use sched::{Latency, Locality};
 use tokio::time::Instant;
 
+pub use self::spill::Spill;
+use self::{
+    partitions::{Candidate, Fitness, Partitions},
+    spill::Spills,
+};
 use crate::{
     Admission, Blame, Bounds, Budget, Demand, Departures, Health, Limits, Loads, Part, Pauses,
     Stalls, Suspects, cold, departures::Incarnation, suspects::Fingerprint,
 };
 
-/// Pending prompt tokens that weigh as much in an endpoint's score as one generating request.
-///
-/// An engine reads about as many in the time that one more request adds to a forward pass.
-const TOKENS_PER_REQUEST: f64 = 400.0;
-/// Score penalty of an endpoint in another zone, in generating requests; traffic between zones is
-/// billed.
-const OTHER_ZONE_PENALTY: f64 = 0.3;
-/// Score bonus of an endpoint with an idle connection, in generating requests; new connections are
-/// billed.
-const CONNECTION_BONUS: f64 = 0.4;
-/// Upper bound of the random part of a score, in generating requests; it keeps entries with the same
-/// information from choosing the same endpoint.
-const MAX_JITTER: f64 = 0.6;
-/// Score penalty of an endpoint with a failure rate of 1, in generating requests; lower rates count in
-/// proportion.
-const FAILURE_PENALTY: f64 = 12.0;
-/// Score penalty of an endpoint that has just declined a request, in generating requests; it fades within
-/// a second.
-const DECLINE_PENALTY: f64 = 8.0;
 /// Number of engines of a group that must run requests without progress for the group to count as
 /// stopped; a single one may only have a long queue.
 const SILENT_ENGINES: usize = 2;
@@ -93,6 +83,8 @@
     pub prompt_tokens: u32,
     /// Known requests of all entries in flight there when the endpoint was chosen.
     pub requests: u32,
+    /// Whether the endpoint is in another zone than the entry.
+    pub other_zone: bool,
     /// Whether the endpoint is cold, so that its request rate is limited.
     pub cold: bool,
     /// Requests per second that the endpoint states it takes from all entries, if it does.
@@ -163,6 +155,9 @@
     blame: Blame,
     stalls: Stalls,
     groups: group::Directory,
+    locality: Locality,
+    latency: Latency,
+    spills: Spills,
     random: SmallRng,
 }
 
@@ -178,6 +173,9 @@
             now,
         );
         Self {
+            locality: Locality::new(zone.clone()),
+            latency: Latency::default(),
+            spills: Spills::default(),
             zone,
             live_entries: 1,
             reported_entries: 1,
@@ -241,7 +239,8 @@
         Ok(placement)
     }
 
-    /// Returns the endpoint with the lowest score, or `None` if no endpoint is available.
+    /// Returns the best endpoint in the zone chosen for the request, else the best one of all, or `None` if
+    /// no endpoint is available.
     ///
     /// # Errors
     ///
@@ -260,7 +259,7 @@
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
         let entries = self.assumed_entry_count(now);
         let sharing_entries = self.sharing_entry_count(now);
-        let mut best: Option<(f64, Placement)> = None;
+        let mut partitions = Partitions::default();
         let mut obstacles = Obstacles::default();
         let silent_groups = self.silent_groups(view, now);
         let mut demand = Demand::default();
@@ -288,7 +287,11 @@
             let slots = known.endpoint.slots.max(1);
             let limit = self.limits.rate(id, incarnation);
             // What an endpoint with a limit runs takes no room from the others, and it has none to offer.
-            demand.slots += limit.map_or(slots, |_| slots.min(load.requests));
+            let offered_slots = limit.map_or(slots, |_| slots.min(load.requests));
+            demand.slots += offered_slots;
+            let group = self.groups.group(address).filter(|_| has_engine);
+            let zone = &known.endpoint.zone;
+            let partition = partitions.count(group, zone, offered_slots, load.requests);
             if attempt.excluded.contains(id) {
                 continue;
             }
@@ -308,28 +311,17 @@
                 obstacles.kind = Some(ErrorKind::Overloaded);
                 continue;
             }
-            let mut score =
-                f64::from(load.requests) + f64::from(load.pending_tokens) / TOKENS_PER_REQUEST;
-            score += self.penalty(id, known, cold, now);
-            if attempt.connected.contains(id) {
-                score -= CONNECTION_BONUS;
-            }
-            score += self.random.random_range(0.0..MAX_JITTER);
-            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
-                let placement = Placement {
-                    endpoint: id.clone(),
-                    address: known.endpoint.address,
-                    prompt_tokens: attempt.prompt_tokens,
-                    requests: load.requests,
-                    cold,
-                    limit,
-                    incarnation,
-                    service: attempt.service.clone(),
-                    chosen_at: now,
-                };
-                best = Some((score, placement));
+            let mut candidate = self.score(attempt, (id, known), load, cold, now);
+            candidate.limit = limit;
+            if !has_engine && candidate.fitness != Fitness::Impaired {
+                let (service, requests) = (attempt.service, load.requests);
+                let time = self.latency.predict(service, id, requests, slots, now);
+                partitions.record_time(partition, time);
             }
+            partitions.offer(partition, candidate);
         }
+        let zone = self.choose_zone(view, attempt, &partitions, has_engine, now);
+        let best = partitions.take_best(&self.zone, &zone, has_engine);
         if has_engine
             && best.is_some()
             && !self
@@ -342,8 +334,8 @@
             };
             return Err(fault.detail("more requests are in demand than slots"));
         }
-        if let Some((_, placement)) = best {
-            return Ok(Some(placement));
+        if let Some(candidate) = best {
+            return Ok(Some(self.place(attempt, &candidate, now)));
         }
         self.fail_full(attempt, &obstacles, now)
             .map_or(Ok(None), Err)
@@ -404,21 +396,21 @@
         !groups.is_empty() && group.is_some_and(|group| groups.contains(group))
     }
 
-    /// Returns the part of an endpoint's score that does not depend on its load.
-    fn penalty(&self, id: &id::Endpoint, known: &Registration, cold: bool, now: Instant) -> f64 {
-        let other_zone = if known.endpoint.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE_PENALTY
-        };
-        let slow_start = if cold {
-            f64::from(known.endpoint.slots)
-        } else {
-            0.0
-        };
-        let failures = self.health.failure_rate(id) * FAILURE_PENALTY;
-        let declined = self.health.recent_decline(id, now) * DECLINE_PENALTY;
-        other_zone + slow_start + failures + declined
+    /// Creates the placement of an attempt at a candidate.
+    fn place(&self, attempt: &Attempt<'_>, candidate: &Candidate<'_>, now: Instant) -> Placement {
+        let endpoint = &candidate.known.endpoint;
+        Placement {
+            endpoint: candidate.endpoint.clone(),
+            address: endpoint.address,
+            prompt_tokens: attempt.prompt_tokens,
+            requests: candidate.requests,
+            other_zone: endpoint.zone != self.zone,
+            cold: candidate.cold,
+            limit: candidate.limit,
+            incarnation: endpoint.started_ms,
+            service: attempt.service.clone(),
+            chosen_at: now,
+        }
     }
 
     /// Creates the fault for a service whose endpoints are all at their limit.
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -37,6 +37,7 @@
                 let duration = now.duration_since(placement.chosen_at);
                 self.admission
                     .record_duration(&placement.service, duration, now);
+                self.latency.record(&placement.service, id, duration, now);
                 self.health.record_success(id);
                 self.stalls.record_success(id, now);
             }
@@ -169,5 +170,7 @@
         self.limits.retain(known, now);
         self.departures.retain(known, now);
         self.pauses.remove_expired(now);
+        self.latency.retain(known);
+        self.locality.expire(now);
     }
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -23,7 +23,7 @@
     Attempt, Balancer, Outcome, Placement, Protocol,
     balancer::Choice,
     body::{self, Body},
-    dispatch::{Dispatch, log_outcome},
+    dispatch::{Dispatch, log_outcome, log_spill},
     forward::build_request,
     metadata,
     metrics::Metrics,
@@ -76,6 +76,17 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner);
         f(&mut balancer)
     }
+
+    /// Chooses an endpoint for an attempt, and logs what changes in the shares that leave the zone.
+    pub(crate) fn choose(&self, attempt: &Attempt<'_>, now: Instant) -> Choice {
+        let view = self.view.borrow().clone();
+        let (choice, spills) = self.with_balancer(|balancer| {
+            let choice = balancer.choose(&view, attempt, now);
+            (choice, balancer.take_spills())
+        });
+        spills.iter().for_each(log_spill);
+        choice
+    }
 }
 
 /// Handles a client request and returns the response.
@@ -308,13 +319,11 @@
             is_retry: !self.tried.is_empty(),
             time_left: self.time_left(),
         };
-        let view = self.context.view.borrow().clone();
         let now = Instant::now();
         if now >= self.start_by {
             return Err(ErrorKind::DeadlineExpired.into());
         }
-        self.context
-            .with_balancer(|balancer| balancer.choose(&view, &attempt, now))
+        self.context.choose(&attempt, now)
     }
 
     /// Returns the fault for the client, which states "not run" only if no endpoint can have run the
@@ -339,6 +348,7 @@
             version = self.version,
             endpoint:% = dispatch.placement.endpoint,
             endpoint_load = dispatch.placement.requests,
+            other_zone = dispatch.placement.other_zone,
             cold = dispatch.placement.cold,
             limit:? = dispatch.placement.limit,
             attempt = self.tried.len(),
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Outcome, Placement,
+    Outcome, Placement, Spill,
     call::{Context, millis},
     limits::Change,
     metadata,
@@ -55,6 +55,18 @@
     context.metrics.limited.set(limited);
 }
 
+/// Logs a change of the share of a service's requests that leaves the zone.
+pub(crate) fn log_spill(spill: &Spill) {
+    log::info!(
+        service:% = spill.service,
+        share = spill.share,
+        own_load = spill.balance.own_load,
+        own_capacity = spill.balance.own_capacity,
+        spare_elsewhere = spill.balance.spare_elsewhere;
+        "share of requests sent to other zones"
+    );
+}
+
 /// Request dispatched to an endpoint; it counts towards the endpoint's load until it ends or is
 /// dropped.
 pub(crate) struct Dispatch {
@@ -66,6 +78,9 @@
 
 impl Dispatch {
     pub(crate) fn new(context: Arc<Context>, placement: Placement) -> Self {
+        if placement.other_zone {
+            context.metrics.other_zone_sends.inc();
+        }
         Self {
             context,
             placement,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -40,7 +40,7 @@
 mod window;
 
 pub use admission::{Admission, Demand};
-pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement};
+pub use balancer::{Attempt, Balancer, Choice, Outcome, Placement, Spill};
 pub use blame::{Blame, Crash, News, Part, Refusal, Verdict};
 pub use budget::Budget;
 pub use departures::{Departures, Incarnation};
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,4 +1,6 @@
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 
 /// Upper bounds of the latency histogram buckets, in seconds; they are densest around the latency
 /// targets that routes usually state.
@@ -13,6 +15,10 @@
     pub(crate) requests: IntCounterVec,
     /// Attempts at endpoints by outcome.
     pub(crate) sends: IntCounterVec,
+    /// Attempts at endpoints in other zones.
+    pub(crate) other_zone_sends: IntCounter,
+    /// Highest share of the requests that leaves the zone, over the services.
+    pub(crate) other_zone_share: Gauge,
     /// Time from a request's arrival to the first byte of its response, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from a request's arrival to the end of its response, in seconds.
@@ -48,7 +54,19 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let other_zone_sends = IntCounter::new(
+            "apricot_direct_other_zone_sends_total",
+            "Sends to endpoints in other zones.",
+        )?;
+        registry.register(Box::new(other_zone_sends.clone()))?;
+        let other_zone_share = Gauge::new(
+            "apricot_direct_other_zone_share",
+            "Highest share of a service's requests that leaves the zone, 0 to 1.",
+        )?;
+        registry.register(Box::new(other_zone_share.clone()))?;
         Ok(Self {
+            other_zone_sends,
+            other_zone_share,
             requests: counter(
                 "apricot_direct_requests_total",
                 "Requests by outcome.",
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -62,11 +62,7 @@
                 is_retry: true,
                 time_left,
             };
-            let view = self.context.view.borrow().clone();
-            let choice = self
-                .context
-                .with_balancer(|balancer| balancer.choose(&view, &attempt, Instant::now()));
-            let placement = match choice {
+            let placement = match self.context.choose(&attempt, Instant::now()) {
                 Ok(placement) => placement,
                 Err(fault) => {
                     log::info!(request:% = self.request.id, reason:% = fault; "stream is not resumed");
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -117,7 +117,11 @@
             known.is_some_and(|known| current.is_available(known, now))
         };
         context.pool.sweep(is_available);
-        context.with_balancer(|balancer| balancer.retain_known(&current, now));
+        let share = context.with_balancer(|balancer| {
+            balancer.retain_known(&current, now);
+            balancer.highest_spill(now)
+        });
+        context.metrics.other_zone_share.set(share);
     }
 }
 
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -15,3 +15,4 @@
 mod retry_budget;
 mod settings_errors;
 mod support;
+mod zone_choice;
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -172,4 +172,16 @@
         });
         matching.max_by_key(|route| route.prefix.len())
     }
+
+    /// Returns the delay of the network between two zones, one way, if a service states it.
+    #[must_use]
+    pub fn zone_delay(&self, from: &str, to: &str) -> Option<Duration> {
+        let engines = self.services.values().filter_map(|s| s.engine.as_ref());
+        let mut delays = engines.flat_map(|engine| &engine.zone_delays);
+        let found = delays.find(|delay| {
+            let (a, b) = (delay.from.as_str(), delay.to.as_str());
+            (a, b) == (from, to) || (a, b) == (to, from)
+        });
+        found.map(|delay| delay.delay)
+    }
 }
