Merge the choice of the zone; it uses the comfortable load of each group

Cause: the part was built beside the forecast and the admission. Change: the comfortable load of the forecast takes the place of the slots; both sums of the engines by group and zone use one type.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,6 +1,9 @@
 mod exchange;
 mod outcomes;
+mod partitions;
 mod passes;
+mod scoring;
+mod spill;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -10,38 +13,25 @@
 
 use conf::id;
 use fault::{ErrorKind, Fault};
-use fleet::{Registration, View};
+use fleet::View;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
-use sched::{Admission, Demand, Outranked, Refusal, Request};
+use sched::{Admission, Demand, Latency, Locality, Outranked, Refusal, Request};
 use tokio::time::Instant;
 
-use passes::Passes;
-pub use passes::{Comfort, Reading};
-
+use self::{
+    partitions::{Candidate, Fitness, Partitions},
+    passes::{Passes, Usages},
+    spill::Spills,
+};
+pub use self::{
+    passes::{Comfort, Reading},
+    spill::Spill,
+};
 use crate::{
     Blame, Bounds, Budget, Departures, Health, Limits, Loads, Part, Pauses, Stalls, Suspects, cold,
     departures::Incarnation, suspects::Fingerprint, terms::Terms,
 };
 
-/// Pending prompt tokens that weigh as much in an endpoint's score as one generating request.
-///
-/// An engine reads about as many in the time that one more request adds to a forward pass.
-const TOKENS_PER_REQUEST: f64 = 400.0;
-/// Score penalty of an endpoint in another zone, in generating requests; traffic between zones is
-/// billed.
-const OTHER_ZONE_PENALTY: f64 = 0.3;
-/// Score bonus of an endpoint with an idle connection, in generating requests; new connections are
-/// billed.
-const CONNECTION_BONUS: f64 = 0.4;
-/// Upper bound of the random part of a score, in generating requests; it keeps entries with the same
-/// information from choosing the same endpoint.
-const MAX_JITTER: f64 = 0.6;
-/// Score penalty of an endpoint with a failure rate of 1, in generating requests; lower rates count in
-/// proportion.
-const FAILURE_PENALTY: f64 = 12.0;
-/// Score penalty of an endpoint that has just declined a request, in generating requests; it fades within
-/// a second.
-const DECLINE_PENALTY: f64 = 8.0;
 /// Number of engines of a group that must run requests without progress for the group to count as
 /// stopped; a single one may only have a long queue.
 const SILENT_ENGINES: usize = 2;
@@ -106,6 +96,8 @@
     pub prompt_tokens: u32,
     /// Known requests of all entries in flight there when the endpoint was chosen.
     pub requests: u32,
+    /// Whether the endpoint is in another zone than the entry.
+    pub other_zone: bool,
     /// Whether the endpoint is cold, so that its request rate is limited.
     pub cold: bool,
     /// Requests per second that the endpoint states it takes from all entries, if it does.
@@ -181,6 +173,9 @@
     passes: Passes,
     /// Ranks and gap targets of the last configuration that a request came under.
     terms: Option<Terms>,
+    locality: Locality,
+    latency: Latency,
+    spills: Spills,
     random: SmallRng,
 }
 
@@ -196,6 +191,9 @@
             now,
         );
         Self {
+            locality: Locality::new(zone.clone()),
+            latency: Latency::default(),
+            spills: Spills::default(),
             zone,
             live_entries: 1,
             reported_entries: 1,
@@ -263,7 +261,8 @@
         Ok(placement)
     }
 
-    /// Returns the endpoint with the lowest score, or `None` if no endpoint is available.
+    /// Returns the best endpoint in the zone chosen for the request, else the best one of all, or `None` if
+    /// no endpoint is available.
     ///
     /// # Errors
     ///
@@ -282,13 +281,13 @@
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
         let entries = self.assumed_entry_count(now);
         let sharing_entries = self.sharing_entry_count(now);
-        let mut best: Option<(f64, Placement)> = None;
+        let mut partitions = Partitions::default();
         let mut obstacles = Obstacles::default();
         let silent_groups = self.silent_groups(view, now);
         let mut demand = Demand::default();
-        let usages = match attempt.levels {
-            0 | 1 => HashMap::new(),
-            _ => self.comfortable_usages(view, attempt.service, now),
+        let usages = match has_engine {
+            true => self.comfortable_usages(view, attempt.service, now),
+            false => Usages::new(),
         };
         for (id, known) in view.available(attempt.service, now) {
             let address = known.endpoint.address;
@@ -319,11 +318,11 @@
             let offered = limit.map_or(slots, |_| slots.min(load.requests));
             demand.slots += offered;
             demand.limit += limit.map_or(slots + MAX_WAITING, |_| offered);
-            if attempt.levels > 1 {
-                let group = self.groups.group(address).cloned();
-                let usage = usages.get(&group).copied().unwrap_or(1.0);
-                demand.comfortable_load += usage * f64::from(offered);
-            }
+            let group = self.groups.group(address).filter(|_| has_engine);
+            let usage = usages.get(&group.cloned()).copied().unwrap_or(1.0);
+            demand.comfortable_load += usage * f64::from(offered);
+            let zone = &known.endpoint.zone;
+            let partition = partitions.count(group, zone, offered, load.requests);
             if attempt.excluded.contains(id) {
                 continue;
             }
@@ -343,33 +342,22 @@
                 obstacles.kind = Some(ErrorKind::Overloaded);
                 continue;
             }
-            let mut score =
-                f64::from(load.requests) + f64::from(load.pending_tokens) / TOKENS_PER_REQUEST;
-            score += self.penalty(id, known, cold, now);
-            if attempt.connected.contains(id) {
-                score -= CONNECTION_BONUS;
-            }
-            score += self.random.random_range(0.0..MAX_JITTER);
-            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
-                let placement = Placement {
-                    endpoint: id.clone(),
-                    address: known.endpoint.address,
-                    prompt_tokens: attempt.prompt_tokens,
-                    requests: load.requests,
-                    cold,
-                    limit,
-                    incarnation,
-                    service: attempt.service.clone(),
-                    chosen_at: now,
-                };
-                best = Some((score, placement));
+            let mut candidate = self.score(attempt, (id, known), load, cold, now);
+            candidate.limit = limit;
+            if !has_engine && candidate.fitness != Fitness::Impaired {
+                let (service, requests) = (attempt.service, load.requests);
+                let time = self.latency.predict(service, id, requests, slots, now);
+                partitions.record_time(partition, time);
             }
+            partitions.offer(partition, candidate);
         }
+        let zone = self.choose_zone(view, attempt, &partitions, &usages, now);
+        let best = partitions.take_best(&self.zone, &zone, has_engine);
         if has_engine && best.is_some() {
             self.admit(attempt, &demand, obstacles.lost_groups, now)?;
         }
-        if let Some((_, placement)) = best {
-            return Ok(Some(placement));
+        if let Some(candidate) = best {
+            return Ok(Some(self.place(attempt, &candidate, now)));
         }
         self.fail_full(attempt, &obstacles, now)
             .map_or(Ok(None), Err)
@@ -485,21 +473,21 @@
         !groups.is_empty() && group.is_some_and(|group| groups.contains(group))
     }
 
-    /// Returns the part of an endpoint's score that does not depend on its load.
-    fn penalty(&self, id: &id::Endpoint, known: &Registration, cold: bool, now: Instant) -> f64 {
-        let other_zone = if known.endpoint.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE_PENALTY
-        };
-        let slow_start = if cold {
-            f64::from(known.endpoint.slots)
-        } else {
-            0.0
-        };
-        let failures = self.health.failure_rate(id) * FAILURE_PENALTY;
-        let declined = self.health.recent_decline(id, now) * DECLINE_PENALTY;
-        other_zone + slow_start + failures + declined
+    /// Creates the placement of an attempt at a candidate.
+    fn place(&self, attempt: &Attempt<'_>, candidate: &Candidate<'_>, now: Instant) -> Placement {
+        let endpoint = &candidate.known.endpoint;
+        Placement {
+            endpoint: candidate.endpoint.clone(),
+            address: endpoint.address,
+            prompt_tokens: attempt.prompt_tokens,
+            requests: candidate.requests,
+            other_zone: endpoint.zone != self.zone,
+            cold: candidate.cold,
+            limit: candidate.limit,
+            incarnation: endpoint.started_ms,
+            service: attempt.service.clone(),
+            chosen_at: now,
+        }
     }
 
     /// Creates the fault for a service whose endpoints are all at their limit.
--- a/crates/direct/src/balancer/passes.rs
+++ b/crates/direct/src/balancer/passes.rs
@@ -7,7 +7,7 @@
 use sched::{Forecast, Load, Partition, Ranks};
 use tokio::time::Instant;
 
-use super::{Balancer, Placement};
+use super::{Balancer, Partitions, Placement};
 use crate::terms::Terms;
 
 /// Time for which the load of the groups of a service is not summed again.
@@ -20,6 +20,9 @@
 /// Service of a group, and the group if it is known.
 type Group = (id::Service, Option<group::Key>);
 
+/// Comfortable load of each group of a service, as a part of its slots.
+pub(super) type Usages = HashMap<Option<group::Key>, f64>;
+
 /// Measured passes and the load under which they ran.
 #[derive(Default)]
 pub(super) struct Passes {
@@ -195,9 +198,9 @@
         view: &View,
         service: &id::Service,
         now: Instant,
-    ) -> HashMap<Option<group::Key>, f64> {
+    ) -> Usages {
         let partitions = self.partitions(view, service, now);
-        let mut usages = HashMap::new();
+        let mut usages = Usages::new();
         for partition in partitions.iter() {
             let group = partition.group.as_ref();
             if usages.contains_key(&partition.group) {
@@ -253,25 +256,14 @@
         {
             return partitions.clone();
         }
-        let mut counted: HashMap<(Option<group::Key>, id::Zone), Partition> = HashMap::new();
+        let mut counted = Partitions::default();
         for (id, known) in view.available(service, now) {
             let endpoint = &known.endpoint;
-            let group = self.groups.group(endpoint.address).cloned();
-            let key = (group, endpoint.zone.clone());
-            let partition = counted
-                .entry(key)
-                .or_insert_with_key(|(group, zone)| Partition {
-                    group: group.clone(),
-                    zone: zone.clone(),
-                    engines: 0,
-                    slots: 0,
-                    requests: 0,
-                });
-            partition.engines += 1;
-            partition.slots += endpoint.slots.max(1);
-            partition.requests += self.loads.total(id, now).requests;
+            let group = self.groups.group(endpoint.address);
+            let requests = self.loads.total(id, now).requests;
+            counted.count(group, &endpoint.zone, endpoint.slots.max(1), requests);
         }
-        let partitions: Arc<[Partition]> = counted.into_values().collect();
+        let partitions: Arc<[Partition]> = counted.as_slice().into();
         let counted = (now, partitions.clone());
         self.passes.partitions.insert(service.clone(), counted);
         partitions
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -24,7 +24,7 @@
     Attempt, Balancer, Outcome, Placement, Protocol,
     balancer::Choice,
     body::{self, Body},
-    dispatch::{Dispatch, log_outcome},
+    dispatch::{Dispatch, log_outcome, log_spill},
     forward::build_request,
     metadata,
     metrics::{MAX_LEVEL, Metrics},
@@ -81,6 +81,22 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner);
         f(&mut balancer)
     }
+
+    /// Chooses an endpoint for an attempt, and logs what changes in the shares that leave the zone; returns also
+    /// the refusal if the attempt is refused because of its rank.
+    pub(crate) fn choose(
+        &self,
+        attempt: &Attempt<'_>,
+        now: Instant,
+    ) -> (Choice, Option<Outranked>) {
+        let view = self.view.borrow().clone();
+        let (choice, spills, outranked) = self.with_balancer(|balancer| {
+            let choice = balancer.choose(&view, attempt, now);
+            (choice, balancer.take_spills(), balancer.take_outranked())
+        });
+        spills.iter().for_each(log_spill);
+        (choice, outranked)
+    }
 }
 
 /// Handles a client request and returns the response.
@@ -328,15 +344,11 @@
             team: self.team.as_ref(),
             returning: self.returning,
         };
-        let view = self.context.view.borrow().clone();
         let now = Instant::now();
         if now >= self.start_by {
             return Err(ErrorKind::DeadlineExpired.into());
         }
-        let (choice, outranked) = self.context.with_balancer(|balancer| {
-            let choice = balancer.choose(&view, &attempt, now);
-            (choice, balancer.take_outranked())
-        });
+        let (choice, outranked) = self.context.choose(&attempt, now);
         if let Some(outranked) = outranked {
             self.record_outranked(&outranked);
         }
@@ -365,6 +377,7 @@
             version = self.version,
             endpoint:% = dispatch.placement.endpoint,
             endpoint_load = dispatch.placement.requests,
+            other_zone = dispatch.placement.other_zone,
             cold = dispatch.placement.cold,
             limit:? = dispatch.placement.limit,
             attempt = self.tried.len(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -39,7 +39,7 @@
 mod watching;
 mod window;
 
-pub use balancer::{Attempt, Balancer, Choice, Comfort, Outcome, Placement, Reading};
+pub use balancer::{Attempt, Balancer, Choice, Comfort, Outcome, Placement, Reading, Spill};
 pub use blame::{Blame, Crash, News, Part, Refusal, Verdict};
 pub use budget::Budget;
 pub use departures::{Departures, Incarnation};
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -17,3 +17,4 @@
 mod retry_budget;
 mod settings_errors;
 mod support;
+mod zone_choice;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod admission;
 mod forecast;
+pub mod latency;
+mod locality;
 mod partition;
 mod rank;
 mod share;
@@ -11,6 +13,8 @@
 
 pub use admission::{Admission, Demand, Outranked, Refusal, Request};
 pub use forecast::{Forecast, Load};
+pub use latency::Latency;
+pub use locality::{Balance, Decision, Locality};
 pub use partition::Partition;
 pub use rank::{Rank, Ranks};
 pub use share::Shares;
--- a/crates/sched/tests/suite/main.rs
+++ b/crates/sched/tests/suite/main.rs
@@ -6,3 +6,4 @@
 mod return_times;
 mod support;
 mod team_shares;
+mod zone_spill;
