steer tests: the model check varies the lead of a hold

A first response to a sudden change is to hold its pass with another lead than other switches. The exploration had one lead for all holds. A further one chooses a lead of one or two passes at each step, and tells states apart by the highest pass that a hold may have named.

--- a/crates/steer/tests/suite/switch_model.rs
+++ b/crates/steer/tests/suite/switch_model.rs
@@ -79,6 +79,11 @@
     last_statuses: Vec<Option<Status>>,
     /// Epoch that the leader knows.
     leader_epoch: Epoch,
+    /// Numbers of passes that the leader may choose for the lead of a hold.
+    hold_leads: &'static [Pass],
+    /// Highest pass that a hold may have named, as the leader knows; only with several leads, since it
+    /// then does not follow from the rest of the state.
+    highest_hold: Option<Pass>,
     /// Whether the standby acts; it may do so at any moment, also at the same time as the leader.
     standby_acts: bool,
     /// Takeover of the decision that the standby, the agent of the second rank, knows.
@@ -106,6 +111,8 @@
             switch: Switch::new(RANKS).max_hold_lead(HOLD_LEAD),
             last_statuses: vec![None; RANKS],
             leader_epoch: 1,
+            hold_leads: &[HOLD_LEAD],
+            highest_hold: None,
             standby_acts: false,
             standby: None,
             starts: 0,
@@ -124,7 +131,7 @@
             self.switch.phase(),
             &self.last_statuses,
             &self.standby,
-            counts,
+            (counts, self.highest_hold),
         )
     }
 
@@ -152,7 +159,11 @@
 
     /// Delivers a rank's report and puts the order in the answer in flight.
     fn poll(&self, index: usize) -> Self {
-        let mut next = self.deliver_report(index);
+        self.poll_with_lead(index, self.hold_leads[0])
+    }
+
+    fn poll_with_lead(&self, index: usize, hold_lead: Pass) -> Self {
+        let mut next = self.deliver_report(index, hold_lead);
         if index == 1 {
             next.instruct_standby();
         }
@@ -164,7 +175,7 @@
     }
 
     /// Delivers a rank's report and loses the answer.
-    fn deliver_report(&self, index: usize) -> Self {
+    fn deliver_report(&self, index: usize, hold_lead: Pass) -> Self {
         let mut next = self.step();
         if next.leader_epoch < next.epoch {
             next.leader_epoch = next.epoch;
@@ -178,7 +189,13 @@
             next.switch.record_status(0, old.clone(), next.started_at);
         }
         if index == 0 {
-            next.switch.advance(HOLD_LEAD, next.started_at);
+            next.switch.advance(hold_lead, next.started_at);
+            if let [_, max_lead] = self.hold_leads {
+                let highest = *next.highest_hold.get_or_insert(next.pass + max_lead);
+                if let Phase::Holding { pass } = next.switch.phase() {
+                    next.highest_hold = Some(highest.max(*pass));
+                }
+            }
         }
         next
     }
@@ -287,7 +304,9 @@
     }
 
     fn reset_leader(&mut self) {
-        self.switch = Switch::new(RANKS).max_hold_lead(HOLD_LEAD);
+        self.highest_hold = None;
+        let max_hold_lead = self.hold_leads.iter().copied().fold(0, Pass::max);
+        self.switch = Switch::new(RANKS).max_hold_lead(max_hold_lead);
         self.last_statuses = vec![None; RANKS];
     }
 
@@ -347,6 +366,10 @@
             return Vec::new();
         }
         let mut all: Vec<Self> = (0..RANKS).map(|index| self.poll(index)).collect();
+        // Only reports of the first rank lead to a hold.
+        for lead in &self.hold_leads[1..] {
+            all.push(self.poll_with_lead(0, *lead));
+        }
         for (index, rank) in self.ranks.iter().enumerate() {
             for position in 0..rank.in_flight.len() {
                 all.push(self.deliver(index, position));
@@ -366,7 +389,7 @@
             all.push(self.restart());
         }
         if self.standby.is_some() && self.standby_acts {
-            all.push(self.deliver_report(1));
+            all.push(self.deliver_report(1, self.hold_leads[0]));
         }
         if self.standby_acts && self.restarts < MAX_RESTARTS {
             let mut next = self.step();
@@ -506,6 +529,25 @@
     println!("{states} states with a standby");
 }
 
+/// The lead of a hold may differ between switches, as that of a first response does.
+#[tokio::test(start_paused = true)]
+async fn varied_lead_never_mixes() {
+    let mut start = State {
+        hold_leads: &[1, 2],
+        ..State::new(Fault::None)
+    };
+    start.reset_leader();
+    let mut states = 0;
+    let mut switched = 0;
+    for state in bfs_reach(start, State::successors) {
+        states += 1;
+        assert!(!state.mixed, "{state:?}");
+        switched += usize::from(state.ranks.iter().all(|rank| rank.map.0 > 0));
+    }
+    println!("{states} states with leads of one and two passes");
+    assert!(switched > 0, "no state is on another map");
+}
+
 /// A standby alone, without the leader, releases a held pass by completing the decided change.
 #[tokio::test(start_paused = true)]
 async fn standby_releases_pass() {
