steer: first response to a sudden change of demand

After a sudden change of the experts in demand, a group served with a skew of 2.6 until a full plan was copied and in use, and plans could begin from counts of which a part was from before the change.

Where a route states a longest pause and the predicted pass exceeds 0.75 of the tightest, the leader now notices sudden changes on reports of all ranks, estimates the time of the change from the samples, plans only from samples that began after it, and begins no plan while the newest samples differ from those before them by more than sampling noise. The first plan copies for at most 60 ms on a rank and its pass is held with a lead of two passes where they suffice for arming; the full plan follows without cooldown. Elsewhere plans are as before.

--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, num::NonZeroUsize, time::Duration};
 
 use conf::unit;
-use expert::{Balancer, Limits, Placement};
+use expert::{Balancer, Change, Limits, Placement};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use tokio::time::Instant;
@@ -10,6 +10,7 @@
     Decision, Delta, Order, Phase, Popularity, Status, Switch,
     delta::normalized,
     engine::{Epoch, Pass, Version},
+    relief::Relief,
     switch::{Progress, STANDBYS},
 };
 
@@ -33,6 +34,9 @@
 const LOG_INTERVAL: Duration = Duration::from_millis(250);
 /// Lower limit on how many passes ahead of the current one a hold is.
 const MIN_HOLD_LEAD: Pass = 3;
+/// The same for a first response. No lead can mix maps: a pass that is held does not begin until all
+/// ranks are armed, and a hold for a pass that has begun is refused. A short one may make the group wait.
+const MIN_FIRST_HOLD_LEAD: Pass = 2;
 /// Duration of a pass that is assumed until one has been measured.
 const DEFAULT_PASS_TIME: Duration = Duration::from_millis(50);
 /// Delay before the next change after one that could not be prepared.
@@ -83,6 +87,16 @@
     #[serde(rename = "rest")]
     #[serde_as(as = "unit::Span")]
     pub cooldown: Duration,
+    /// Share of the tightest gap target of the service's routes that the predicted duration of a pass
+    /// must exceed for a first response to a sudden change; from 0 to 1.
+    pub gap_share: f64,
+    /// Maximum time that a rank spends copying experts in a first response.
+    #[serde(rename = "first_copying")]
+    #[serde_as(as = "unit::Span")]
+    pub first_copy_time: Duration,
+    /// Minimum number of choices per set since the change for a first response.
+    #[serde(rename = "first_mass")]
+    pub first_min_choices: f64,
 }
 
 impl Default for Tuning {
@@ -97,6 +111,9 @@
             long_term_share: 0.5,
             min_choices: 20_000.0,
             cooldown: Duration::from_millis(100),
+            gap_share: 0.75,
+            first_copy_time: Duration::from_millis(60),
+            first_min_choices: 5_000.0,
         }
     }
 }
@@ -146,6 +163,11 @@
     alerted_at: Option<Instant>,
     /// Pass and time at which the current measurement began, and the last measured duration of a pass.
     pass_timing: Option<(Pass, Instant, Duration)>,
+    relief: Relief,
+    /// Whether the last switch that began is a first response to a sudden change.
+    is_first_response: bool,
+    /// Number of first responses that began since it was last asked for.
+    first_responses: u64,
 }
 
 impl Leader {
@@ -171,6 +193,9 @@
             unplanned_since: None,
             alerted_at: None,
             pass_timing: None,
+            relief: Relief::default(),
+            is_first_response: false,
+            first_responses: 0,
         }
     }
 
@@ -211,15 +236,25 @@
         new_experts_per_set: usize,
         copy_time: Duration,
     ) {
-        let copies = self.tuning.max_copy_time.as_secs_f64() / copy_time.as_secs_f64().max(0.001);
         let limits = Limits {
             capacity: experts_per_set,
             copies_per_set: new_experts_per_set,
-            total_copies: (copies as usize).max(1),
+            total_copies: copies_within(self.tuning.max_copy_time, copy_time),
         };
         self.limits = Some((limits, copy_time));
     }
 
+    /// Sets the duration of a pass of idle engines and the tightest gap target of the service's
+    /// routes; without a target, sudden changes get no first response.
+    pub fn set_gap_target(&mut self, base_pass_time: Duration, gap_target: Option<Duration>) {
+        self.relief.set_gap_target(base_pass_time, gap_target);
+    }
+
+    /// Returns how many first responses to sudden changes have begun since the last call.
+    pub const fn take_first_responses(&mut self) -> u64 {
+        std::mem::replace(&mut self.first_responses, 0)
+    }
+
     /// Processes the report of a rank and returns its instructions.
     pub fn handle_report(&mut self, rank: usize, status: Status, now: Instant) -> Instructions {
         if status.epoch > self.epoch || status.ranks != self.ranks && status.epoch == self.epoch {
@@ -227,6 +262,8 @@
         }
         let min_pause = REPORT_INTERVAL_PER_RANK * u32::try_from(self.ranks).unwrap_or(u32::MAX);
         let pause = match self.switch.phase() {
+            // The ranks learn sooner of the first response and of the full plan.
+            Phase::Idle if self.relief.has_change(now) => PREPARE_REPORT_INTERVAL.max(min_pause),
             Phase::Idle => IDLE_REPORT_INTERVAL,
             Phase::Preparing => PREPARE_REPORT_INTERVAL.max(min_pause),
             _ => HOLD_REPORT_INTERVAL,
@@ -247,6 +284,9 @@
             .filter(|_| !status.counts.is_empty())
         {
             popularity.add(&status.counts, now);
+            let sets = popularity.sets();
+            self.relief
+                .record((rank, self.ranks), sets, &status.counts, now);
         }
         if let Some(list) = &status.list {
             self.record_list(rank, list, status.map);
@@ -261,6 +301,11 @@
             self.check_plannable(now);
         } else if rank == 0 {
             self.unplanned_since = None;
+        } else if open && self.relief.is_check_due(now) {
+            self.notice_change(now);
+            if self.relief.has_change(now) {
+                self.plan(now);
+            }
         }
         Instructions {
             order: self.switch.next_order(rank, now),
@@ -303,6 +348,8 @@
         self.engines = vec![None; status.ranks];
         self.next_plan_at = now;
         self.pass_timing = None;
+        self.relief.reset();
+        self.is_first_response = false;
     }
 
     /// Returns the placement of a new group, if the numbers of sets and experts are known from an
@@ -348,21 +395,38 @@
         if passes >= 4 {
             let count = u32::try_from(passes).unwrap_or(u32::MAX);
             self.pass_timing = Some((pass, now, now.duration_since(since) / count));
+            if self.relief.is_configured() {
+                let skew = self.short_term_skew();
+                self.relief.record_measurement(skew);
+            }
         } else if now.duration_since(since) > MAX_REPORT_AGE {
             self.pass_timing = Some((pass, now, pass_time));
         }
     }
 
+    /// Returns the last measured duration of a pass.
+    fn pass_time(&self) -> Duration {
+        self.pass_timing
+            .map_or(DEFAULT_PASS_TIME, |(_, _, pass_time)| pass_time)
+    }
+
     /// Returns how many passes ahead a hold must be to give the ranks time to arm.
     fn hold_lead(&self) -> Pass {
-        let pass_time = self
-            .pass_timing
-            .map_or(DEFAULT_PASS_TIME, |(_, _, pass_time)| pass_time)
-            .max(Duration::from_millis(1));
+        let may_hold = matches!(
+            self.switch.phase(),
+            Phase::Preparing | Phase::Holding { .. }
+        );
+        // The last measurement may be from before the change.
+        let (pass_time, min_lead) = if self.is_first_response && may_hold {
+            (self.predict_pass(), MIN_FIRST_HOLD_LEAD)
+        } else {
+            (self.pass_time(), MIN_HOLD_LEAD)
+        };
+        let pass_time = pass_time.max(Duration::from_millis(1));
         let arm_time = ARM_TIME_PER_RANK * u32::try_from(self.ranks).unwrap_or(u32::MAX);
         let arm_time = arm_time.max(MIN_ARM_TIME);
         let passes = arm_time.as_secs_f64() / pass_time.as_secs_f64();
-        (passes.ceil() as Pass).max(MIN_HOLD_LEAD)
+        (passes.ceil() as Pass).max(min_lead)
     }
 
     fn advance(&mut self, now: Instant) {
@@ -376,7 +440,13 @@
                 log::info!(epoch = self.epoch, map = version, skew = skew; "map is in use");
                 self.placement = Some(placement);
                 self.placement_version = version;
-                self.next_plan_at = now + self.tuning.cooldown;
+                // The full plan follows a first response at once.
+                let cooldown = if self.relief.awaits_rest() {
+                    Duration::ZERO
+                } else {
+                    self.tuning.cooldown
+                };
+                self.next_plan_at = now + cooldown;
             }
             Progress::Ended(None) => {
                 log::warn!(epoch = self.epoch; "switch has ended without a known map");
@@ -440,9 +510,7 @@
             return;
         };
         let skew = format_skew(self.skew(placement));
-        let pass_time = self
-            .pass_timing
-            .map_or(DEFAULT_PASS_TIME, |(_, _, pass_time)| pass_time);
+        let pass_time = self.pass_time();
         log::info!(
             epoch = self.epoch,
             skew = skew,
@@ -479,8 +547,59 @@
         })
     }
 
+    /// Returns the skew of the placement in use under short-term popularity.
+    fn short_term_skew(&self) -> Option<f64> {
+        let popularity = self.popularity.as_ref()?.short_term();
+        Balancer::skew(self.placement.as_ref()?, &popularity)
+    }
+
+    /// Returns the duration of a pass under the present skew.
+    fn predict_pass(&self) -> Duration {
+        let skew = self
+            .short_term_skew()
+            .filter(|_| self.relief.is_configured());
+        self.relief.predict_pass(self.pass_time(), skew)
+    }
+
+    /// Returns whether passes threaten to exceed the pauses that routes allow.
+    fn needs_relief(&self) -> bool {
+        self.relief.is_configured()
+            && self
+                .relief
+                .is_needed(self.predict_pass(), self.tuning.gap_share)
+    }
+
+    /// Records a sudden change of demand, if there is one that needs a first response.
+    fn notice_change(&mut self, now: Instant) {
+        self.relief.record_check(now);
+        if self.relief.has_change(now) || !self.needs_relief() {
+            return;
+        }
+        let (Some(placement), Some(popularity)) = (&self.placement, &self.popularity) else {
+            return;
+        };
+        let blend = popularity.blend(self.tuning.long_term_share);
+        let before = Balancer::skew(placement, &blend);
+        let Some((after, before)) = self.short_term_skew().zip(before) else {
+            return;
+        };
+        if after - before > self.tuning.sudden_rise {
+            let age = self.relief.begin(now);
+            log::info!(
+                epoch = self.epoch,
+                skew_new = format!("{after:.3}"),
+                skew_old = format!("{before:.3}"),
+                counts_age_ms = age.map(|age| age.as_millis() as u64);
+                "sudden change of demand"
+            );
+        }
+    }
+
     /// Starts a map change if one is possible and reduces the skew enough.
     fn plan(&mut self, now: Instant) {
+        if self.relief.is_configured() {
+            self.notice_change(now);
+        }
         let recent =
             |at: &Option<Instant>| at.is_some_and(|at| now.duration_since(at) < MAX_REPORT_AGE);
         if now < self.next_plan_at
@@ -489,23 +608,99 @@
         {
             return;
         }
-        let (Some(placement), Some((limits, copy_time))) = (&self.placement, self.limits) else {
+        let Some((limits, copy_time)) = self.limits else {
             return;
         };
+        if self.relief.has_change(now) {
+            self.answer_change(limits, copy_time, now);
+            return;
+        }
         if self.choices_per_set() < self.tuning.min_choices {
             return;
         }
-        let Some(popularity) = self.expected_popularity(placement) else {
+        let placement = self.placement.as_ref();
+        let Some(mut popularity) = placement.and_then(|p| self.expected_popularity(p)) else {
             return;
         };
-        let balancer = Balancer::new(limits, self.tuning.copy_price * copy_time.as_secs_f64());
-        let Some(change) = balancer.plan(placement, &popularity) else {
+        let Some(mut change) = self.worthwhile_change(limits, copy_time, &popularity) else {
             return;
         };
-        let (before, after) = change.skew;
-        if before < self.tuning.min_skew || before - after < self.tuning.min_gain {
+        if self.needs_relief() {
+            match self.relief.settle(None, now) {
+                None => return,
+                Some(None) => {}
+                Some(Some(since)) => {
+                    popularity = self.relief.counts(since).unwrap_or(popularity);
+                    let newest = self.worthwhile_change(limits, copy_time, &popularity);
+                    let Some(newest) = newest else {
+                        return;
+                    };
+                    change = newest;
+                }
+            }
+        }
+        self.start(change, false, now);
+    }
+
+    /// Starts the first response to a sudden change or, after it, the full plan, from samples that were
+    /// counted after the change.
+    fn answer_change(&mut self, limits: Limits, copy_time: Duration, now: Instant) {
+        let Some(since) = self.relief.settled_since(now) else {
+            return;
+        };
+        let Some(popularity) = self.relief.counts(since) else {
+            return;
+        };
+        let choices = popularity.iter().flatten().sum::<f64>() / popularity.len() as f64;
+        if self.relief.awaits_response() {
+            if choices < self.tuning.first_min_choices {
+                return;
+            }
+            let first_limits = Limits {
+                total_copies: copies_within(self.tuning.first_copy_time, copy_time),
+                ..limits
+            };
+            self.relief.respond(since);
+            if let Some(change) = self.worthwhile_change(first_limits, copy_time, &popularity) {
+                self.first_responses += 1;
+                self.start(change, true, now);
+                return;
+            }
+        }
+        if choices < self.tuning.min_choices {
             return;
         }
+        let change = self.worthwhile_change(limits, copy_time, &popularity);
+        if let Some(popularity) = &mut self.popularity {
+            popularity.clear();
+            let samples = self.relief.finish(since);
+            samples
+                .iter()
+                .for_each(|(sample, at)| popularity.add(sample, *at));
+        }
+        if let Some(change) = change {
+            self.start(change, false, now);
+        }
+    }
+
+    /// Returns the best change of the placement in use, if it reduces the skew enough.
+    fn worthwhile_change(
+        &self,
+        limits: Limits,
+        copy_time: Duration,
+        popularity: &[Vec<f64>],
+    ) -> Option<Change> {
+        let balancer = Balancer::new(limits, self.tuning.copy_price * copy_time.as_secs_f64());
+        let change = balancer.plan(self.placement.as_ref()?, popularity)?;
+        let (before, after) = change.skew;
+        let is_worthwhile =
+            before >= self.tuning.min_skew && before - after >= self.tuning.min_gain;
+        is_worthwhile.then_some(change)
+    }
+
+    /// Starts a change of the placement in use.
+    fn start(&mut self, change: Change, is_first_response: bool, now: Instant) {
+        let (before, after) = change.skew;
         let age = now.duration_since(self.created_at).as_millis() as Version;
         let version = self.switch.next_version().max(self.min_version + age);
         log::info!(
@@ -514,14 +709,23 @@
             copies = change.copies,
             skew_before = format!("{:.3}", before),
             skew_after = format!("{:.3}", after),
-            choices = self.choices_per_set() as u64;
+            choices = self.choices_per_set() as u64,
+            first_response = is_first_response,
+            predicted_pass_ms = self.predict_pass().as_millis() as u64;
             "switch begins"
         );
+        self.is_first_response = is_first_response;
         self.switch
             .start(version, normalized(&change.placement), now);
     }
 }
 
+/// Returns how many experts a rank can copy in a time, at least one.
+fn copies_within(time: Duration, copy_time: Duration) -> usize {
+    let copies = time.as_secs_f64() / copy_time.as_secs_f64().max(0.001);
+    (copies as usize).max(1)
+}
+
 /// Formats a skew for the log.
 fn format_skew(skew: Option<f64>) -> String {
     skew.map_or_else(|| "unknown".to_owned(), |skew| format!("{skew:.3}"))
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -1,4 +1,4 @@
-use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Prometheus metrics of an agent.
 #[derive(Clone)]
@@ -9,6 +9,8 @@
     pub(crate) reports: IntCounterVec,
     /// Serving groups that this agent leads and cannot plan for: 0 or 1.
     pub(crate) unplannable: IntGauge,
+    /// First responses to a sudden change that this agent has begun as leader.
+    pub(crate) first_responses: IntCounter,
 }
 
 impl Metrics {
@@ -28,10 +30,16 @@
             "Serving groups led here for which no map can be planned.",
         )?;
         registry.register(Box::new(unplannable.clone()))?;
+        let first_responses = IntCounter::new(
+            "apricot_steer_first_responses_total",
+            "Switches begun here as first response to a sudden change of demand.",
+        )?;
+        registry.register(Box::new(first_responses.clone()))?;
         Ok(Self {
             orders: counter("apricot_steer_orders_total", "Orders to the engine.")?,
             reports: counter("apricot_steer_reports_total", "Reports to the leader.")?,
             unplannable,
+            first_responses,
         })
     }
 }
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -180,6 +180,22 @@
         }
     }
 
+    /// Passes the base duration of a pass and the tightest gap target of the service's routes to the
+    /// leader, if this agent leads.
+    pub(crate) fn set_gap_target(&self, base_pass_time: Duration, gap_target: Option<Duration>) {
+        let mut led = self.led.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, leader)) = led.as_mut() {
+            leader.set_gap_target(base_pass_time, gap_target);
+        }
+    }
+
+    /// Returns how many first responses this agent has begun as leader since the last call.
+    pub(crate) fn take_first_responses(&self) -> u64 {
+        let mut led = self.led.lock().unwrap_or_else(PoisonError::into_inner);
+        led.as_mut()
+            .map_or(0, |(_, leader)| leader.take_first_responses())
+    }
+
     /// Returns the group that this agent leads, and its epoch.
     pub(crate) fn led_group(&self) -> Option<(SmolStr, Epoch)> {
         let led = self.led.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/steer/src/popularity.rs
+++ b/crates/steer/src/popularity.rs
@@ -35,6 +35,24 @@
     pub fn is_empty(&self) -> bool {
         self.quantized.is_empty()
     }
+
+    /// Returns the number of counts.
+    pub(crate) const fn len(&self) -> usize {
+        self.quantized.len()
+    }
+
+    /// Returns the rounded counts.
+    pub(crate) fn counts(&self) -> impl Iterator<Item = f64> {
+        let scale = f64::from(self.scale);
+        self.quantized.iter().map(move |n| f64::from(*n) * scale)
+    }
+
+    /// Returns the mean of the weights over the choices counted; `None` without choices.
+    pub(crate) fn score(&self, weights: &[f64]) -> Option<f64> {
+        let total: f64 = self.counts().sum();
+        let weighted = self.counts().zip(weights).map(|(n, weight)| n * weight);
+        (total > 0.0).then(|| weighted.sum::<f64>() / total)
+    }
 }
 
 /// Time in which short-term counts decay by a factor of e: one or two reports of each rank.
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use conf::id;
-use fleet::{Always, Follower, Source};
+use fleet::{Always, Follower, Route, Source};
 use node::probe;
 use prometheus::Registry;
 use tokio::{
@@ -111,16 +111,30 @@
             },
         }
         let view = view.borrow_and_update().clone();
-        let service = view
-            .configuration
-            .as_ref()
-            .and_then(|c| c.services.get(&service));
-        if let Some(engine) = service.and_then(|s| s.engine.as_ref()) {
+        let Some(configuration) = view.configuration.as_ref() else {
+            continue;
+        };
+        let engine = configuration
+            .services
+            .get(&service)
+            .and_then(|s| s.engine.as_ref());
+        if let Some(engine) = engine {
             peers.set_limits(
                 engine.expert_slots,
                 engine.max_new_experts,
                 engine.copy_time,
             );
+            peers.set_gap_target(
+                engine.step_time * engine.steps_per_pass,
+                tightest_gap_target(&configuration.routes, &service),
+            );
         }
     }
 }
+
+/// Returns the shortest of the longest pauses that routes to a service state; `None` if none states one.
+fn tightest_gap_target(routes: &[Arc<Route>], service: &id::Service) -> Option<Duration> {
+    let uses = |route: &&Arc<Route>| route.split.iter().any(|split| split.service == *service);
+    let routes = routes.iter().filter(uses);
+    routes.filter_map(|route| route.gap_target).min()
+}
--- a/crates/steer/src/worker.rs
+++ b/crates/steer/src/worker.rs
@@ -79,6 +79,12 @@
     hash.digest()
 }
 
+/// Returns the minimum interval between two reads of this number of counts.
+pub(crate) fn count_interval(counts: usize) -> Duration {
+    let interval = COUNT_INTERVAL_PER_COUNT * u32::try_from(counts).unwrap_or(u32::MAX);
+    interval.max(MIN_COUNT_INTERVAL)
+}
+
 /// Reports the state of one engine to its group's leader and sends the leader's orders to the engine.
 pub(crate) struct Worker {
     address: SocketAddr,
@@ -144,6 +150,8 @@
             };
             let is_unplannable = self.peers.leads_unplannable();
             self.metrics.unplannable.set(i64::from(is_unplannable));
+            let first_responses = self.peers.take_first_responses();
+            self.metrics.first_responses.inc_by(first_responses);
             time::sleep(delay).await;
         }
     }
@@ -159,8 +167,7 @@
             .last_counts
             .as_ref()
             .map_or(0, |counts| counts.counts.len());
-        let interval = COUNT_INTERVAL_PER_COUNT * u32::try_from(count_total).unwrap_or(u32::MAX);
-        let interval = interval.max(MIN_COUNT_INTERVAL);
+        let interval = count_interval(count_total);
         let due = self
             .counts_read_at
             .is_none_or(|at| at.elapsed() >= interval);
--- a/crates/steer/tests/suite/main.rs
+++ b/crates/steer/tests/suite/main.rs
@@ -4,5 +4,6 @@
 mod leader_restarts;
 mod map_delta;
 mod popularity_decay;
+mod sudden_demand;
 mod switch_model;
 mod topic_returns;
