direct: senseless numbers of slots do not overflow the sums of a service

Registrations are not checked, so that an endpoint can state any u32 as its slots. The sums over the engines of a service and of a group then overflowed: debug builds panicked, others wrapped to a demand and a group load that were too small. The sums saturate, or are computed in floating point.

senseless_slots panicked before (passes.rs, attempt to add with overflow), and passes now.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -293,8 +293,9 @@
             let address = known.endpoint.address;
             let load = self.loads.total(id, now);
             let own_requests = self.loads.own_requests(id);
-            demand.own_requests += own_requests;
-            demand.requests += load.requests - own_requests;
+            demand.own_requests = demand.own_requests.saturating_add(own_requests);
+            let other_requests = load.requests.saturating_sub(own_requests);
+            demand.requests = demand.requests.saturating_add(other_requests);
             let is_group_lost =
                 self.groups.is_broken(address, now) || self.is_in(&silent_groups, address);
             obstacles.lost_groups |= is_group_lost;
@@ -316,8 +317,11 @@
             let limit = self.limits.rate(id, incarnation);
             // What an endpoint with a limit runs takes no room from the others, and it has none to offer.
             let offered = limit.map_or(slots, |_| slots.min(load.requests));
-            demand.slots += offered;
-            demand.limit += limit.map_or(slots + MAX_WAITING, |_| offered);
+            demand.slots = demand.slots.saturating_add(offered);
+            let accepted = slots.saturating_add(MAX_WAITING);
+            demand.limit = demand
+                .limit
+                .saturating_add(limit.map_or(accepted, |_| offered));
             let group = self.groups.group(address).filter(|_| has_engine);
             let usage = usages.get(&group.cloned()).copied().unwrap_or(1.0);
             demand.comfortable_load += usage * f64::from(offered);
@@ -338,7 +342,7 @@
                 obstacles.kind = obstacles.kind.or(Some(ErrorKind::Cold));
                 continue;
             }
-            if has_engine && load.requests >= slots + MAX_WAITING {
+            if has_engine && load.requests >= accepted {
                 obstacles.kind = Some(ErrorKind::Overloaded);
                 continue;
             }
--- a/crates/direct/src/balancer/passes.rs
+++ b/crates/direct/src/balancer/passes.rs
@@ -105,16 +105,17 @@
     let own = partitions
         .iter()
         .filter(|partition| partition.group.as_ref() == group);
-    let (engines, slots, requests) = own.fold((0, 0, 0), |(engines, slots, requests), part| {
+    let zero = (0.0, 0.0, 0.0);
+    let (engines, slots, requests) = own.fold(zero, |(engines, slots, requests), part| {
         (
-            engines + part.engines,
-            slots + part.slots,
-            requests + part.requests,
+            engines + f64::from(part.engines),
+            slots + f64::from(part.slots),
+            requests + f64::from(part.requests),
         )
     });
-    (engines > 0).then(|| Load {
-        slots: f64::from(slots) / f64::from(engines),
-        requests: f64::from(requests) / f64::from(engines),
+    (engines > 0.0).then(|| Load {
+        slots: slots / engines,
+        requests: requests / engines,
     })
 }
 
--- a/crates/direct/tests/suite/balancer_choice.rs
+++ b/crates/direct/tests/suite/balancer_choice.rs
@@ -261,3 +261,19 @@
     }
     assert!(sent >= 15, "{sent} of 20");
 }
+
+/// Guards against an overflow in the sums over a service's engines: registrations are not checked, and one that
+/// states senseless slots must not stop the entry.
+#[tokio::test(start_paused = true)]
+async fn senseless_slots() {
+    let (mut balancer, mut view, service) = (balancer(), view(4), "drafts".into());
+    for known in view.endpoints.values_mut() {
+        Arc::make_mut(&mut known.endpoint).slots = u32::MAX;
+    }
+    for _ in 0..2 {
+        let choice = balancer.choose(&view, &attempt(&service), Instant::now());
+        let placement = choice.expect("all engines have room");
+        let gap = Duration::from_millis(40);
+        balancer.record_gap(&view, &placement, gap, Instant::now());
+    }
+}
