direct: requests to engines that state limits are not rationed

Slots of an engine that states a limit count only as far as they are in use. While all engines of a service state limits and are idle, there were no slots and the admission got no tokens, so that every request after the first was refused, whatever the limit. With several levels, requests of lower levels were also refused because the load equals the bound at any load. A request to such an engine is now bounded by the stated limit and by the engine's queue only.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -357,7 +357,8 @@
         }
         let zone = self.choose_zone(view, attempt, &partitions, &usages, now);
         let best = partitions.take_best(&self.zone, &zone, has_engine);
-        if has_engine && best.is_some() {
+        // The rate of an endpoint with a limit is bounded by that; the demand has no slots for it while it is idle.
+        if has_engine && best.as_ref().is_some_and(|best| best.limit.is_none()) {
             self.admit(attempt, &demand, obstacles.lost_groups, now)?;
         }
         if let Some(candidate) = best {
--- a/crates/direct/tests/suite/endpoint_limits.rs
+++ b/crates/direct/tests/suite/endpoint_limits.rs
@@ -322,6 +322,35 @@
     );
 }
 
+/// Load pattern: few requests while all engines state limits that are far above the rate of the requests. Slots
+/// that count only while they are in use gave idle engines no capacity, so that after the first request all were
+/// refused, and those of a lower rank from the first one on.
+#[tokio::test(start_paused = true)]
+async fn idle_engines_with_limits() {
+    let service = "drafts".into();
+    for (level, levels) in [(0, 1), (0, 3), (2, 3)] {
+        let (mut balancer, view) = (balancer(), view(2));
+        time::advance(Duration::from_secs(10)).await;
+        let attempt = direct::Attempt {
+            level,
+            levels,
+            ..attempt(&service)
+        };
+        let mut refused = 0;
+        for index in 0..100 {
+            let choice = balancer.choose(&view, &attempt, Instant::now());
+            if let Ok(placement) = &choice {
+                balancer.record_limit(placement, &Limit::Rate(50.0), Instant::now());
+                balancer.record_outcome(placement, Outcome::Whole, Instant::now());
+            }
+            // At first, not all endpoints have stated their limits.
+            refused += u32::from(choice.is_err() && index >= 10);
+            time::advance(Duration::from_millis(500)).await;
+        }
+        assert_eq!(refused, 0, "level {level} of {levels}");
+    }
+}
+
 /// Load pattern: all endpoints state limits and more is in demand; what is refused has not run, at once, and comes
 /// back as there is room.
 #[tokio::test(start_paused = true)]
