direct, sched: the round trip between zones does not overflow

Delays between zones are published and only limited by the range of Duration. Twice such a delay, or its sum with a response time, panicked while the lock of the balancer was held, on each request to a plain service with endpoints in the other zone. The sums saturate.

senseless_delay panicked before, and passes now.

--- a/crates/direct/src/balancer/spill.rs
+++ b/crates/direct/src/balancer/spill.rs
@@ -135,11 +135,11 @@
         let round_trip = |zone: &id::Zone| {
             let configuration = view.configuration.as_ref();
             let delay = configuration.and_then(|c| c.zone_delay(&self.zone, zone));
-            2 * delay.unwrap_or(DEFAULT_DELAY)
+            delay.unwrap_or(DEFAULT_DELAY).saturating_mul(2)
         };
         let others = partitions.times().filter(|(zone, _)| **zone != self.zone);
         let others = others.map(|(zone, time)| (zone, time, round_trip(zone)));
-        let fastest = others.min_by_key(|(_, time, round_trip)| *time + *round_trip);
+        let fastest = others.min_by_key(|(_, time, round_trip)| time.saturating_add(*round_trip));
         let is_better =
             |time, round_trip| own.is_none_or(|(_, own)| latency::is_gain(own, time, round_trip));
         fastest
--- a/crates/direct/tests/suite/zone_choice.rs
+++ b/crates/direct/tests/suite/zone_choice.rs
@@ -233,3 +233,24 @@
     let spills = balancer.take_spills();
     assert!(spills.iter().any(|spill| spill.share > 0.05), "{spills:?}");
 }
+
+/// Guards against an overflow in the round trip, which would stop the entry: delays are published, and only
+/// limited by the range of `Duration`.
+#[tokio::test(start_paused = true)]
+async fn senseless_delay() {
+    let mut balancer = balancer();
+    let mut view = zones("orders", &mut balancer, false);
+    let mut far = configuration(2);
+    let engines = far.services.values_mut().filter_map(|s| s.engine.as_mut());
+    for engine in engines {
+        engine.zone_delays.push(ZoneDelay {
+            from: "a".into(),
+            to: "b".into(),
+            delay: Duration::MAX,
+        });
+    }
+    view.configuration = Some(Arc::new(far));
+    let service = "orders".into();
+    let choice = balancer.choose(&view, &attempt(&service), Instant::now());
+    assert!(choice.is_ok(), "{choice:?}");
+}
--- a/crates/sched/src/latency.rs
+++ b/crates/sched/src/latency.rs
@@ -85,7 +85,8 @@
 /// in the own zone, by more than the round trip plus a tenth of `own`.
 #[must_use]
 pub fn is_gain(own: Duration, elsewhere: Duration, round_trip: Duration) -> bool {
-    own > elsewhere + round_trip + own.mul_f64(MIN_GAIN)
+    let least_gain = round_trip.saturating_add(own.mul_f64(MIN_GAIN));
+    own > elsewhere.saturating_add(least_gain)
 }
 
 fn average(mean: Duration, newest: Duration) -> Duration {
