steer: routes that give a service no requests do not set its gap target

Leaders took the smallest gap target of all routes that name the service, also of those with weight 0, unlike entries. Relief then took effect without any stream that has the target. The target is now looked up by fleet::Configuration::gap_target, which counts the receivers of a route only.

only_receivers_are_held_to_targets failed with the old rule (50 ms instead of 120 ms), and passes now.

--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -187,6 +187,14 @@
         matching.max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the smallest gap target of the routes that send requests to a service, if any states one.
+    #[must_use]
+    pub fn gap_target(&self, service: &str) -> Option<Duration> {
+        let uses = |route: &&Arc<Route>| route.receivers().any(|receiver| receiver == service);
+        let routes = self.routes.iter().filter(uses);
+        routes.filter_map(|route| route.gap_target).min()
+    }
+
     /// Returns the delay of the network between two zones, one way, if a service states it.
     #[must_use]
     pub fn zone_delay(&self, from: &str, to: &str) -> Option<Duration> {
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the replica of the store and of its follower.
 
+mod gap_target;
 mod lapsed_registrations;
 mod replica_order;
 mod store_duty;
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use conf::id;
-use fleet::{Always, Follower, Route, Source};
+use fleet::{Always, Follower, Source};
 use node::probe;
 use prometheus::Registry;
 use tokio::{
@@ -126,15 +126,8 @@
             );
             peers.set_gap_target(
                 engine.step_time * engine.steps_per_pass,
-                tightest_gap_target(&configuration.routes, &service),
+                configuration.gap_target(&service),
             );
         }
     }
 }
-
-/// Returns the shortest of the longest pauses that routes to a service state; `None` if none states one.
-fn tightest_gap_target(routes: &[Arc<Route>], service: &id::Service) -> Option<Duration> {
-    let uses = |route: &&Arc<Route>| route.split.iter().any(|split| split.service == *service);
-    let routes = routes.iter().filter(uses);
-    routes.filter_map(|route| route.gap_target).min()
-}
