--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -149,7 +149,7 @@
         self.stalls.record_declined(endpoint, &lost, now);
     }
 
-    /// Removes the state of endpoints that are not in `view`.
+    /// Removes the state of endpoints and services that are not in `view`.
     pub fn retain_known(&mut self, view: &View, now: Instant) {
         let known = |id: &id::Endpoint| view.endpoints.contains_key(id);
         let is_cold = |id: &id::Endpoint| {
@@ -173,5 +173,11 @@
         self.passes.remove_expired(now);
         self.latency.retain(known);
         self.locality.expire(now);
+        if let Some(configuration) = &view.configuration {
+            let is_configured =
+                |service: &id::Service| configuration.services.contains_key(service);
+            self.admission.retain(is_configured);
+            self.spills.retain(is_configured);
+        }
     }
 }
--- a/crates/direct/src/balancer/passes.rs
+++ b/crates/direct/src/balancer/passes.rs
@@ -36,6 +36,8 @@
     /// Removes what is too old to count.
     pub(super) fn remove_expired(&mut self, now: Instant) {
         self.forecast.remove_expired(now);
+        self.partitions
+            .retain(|_, (at, _)| now.duration_since(*at) < LOAD_TTL);
         let forecast = &self.forecast;
         self.notices.retain(|(service, group), _| {
             let excess = forecast.peak_excess(service, group.as_ref(), now);
--- a/crates/direct/src/balancer/spill.rs
+++ b/crates/direct/src/balancer/spill.rs
@@ -51,6 +51,11 @@
 }
 
 impl Spills {
+    /// Removes the shares of services that are no longer known.
+    pub(super) fn retain(&mut self, known: impl Fn(&id::Service) -> bool) {
+        self.services.retain(|service, _| known(service));
+    }
+
     /// Records whether a request to a plain service leaves.
     fn record_left(&mut self, service: &id::Service, left: bool, balance: Balance, now: Instant) {
         let before = self
--- a/crates/direct/tests/suite/zone_choice.rs
+++ b/crates/direct/tests/suite/zone_choice.rs
@@ -254,3 +254,22 @@
     let choice = balancer.choose(&view, &attempt(&service), Instant::now());
     assert!(choice.is_ok(), "{choice:?}");
 }
+
+/// Guards against state that is kept for each service name that was ever configured; a new service of the same
+/// name would also start with the share of the old one.
+#[tokio::test(start_paused = true)]
+async fn removed_service_forgotten() {
+    let mut balancer = balancer();
+    let mut view = zones("orders", &mut balancer, false);
+    view.endpoints.retain(|_, known| known.endpoint.zone != "a");
+    send(&mut balancer, &view, "orders", 100).await;
+    assert!(balancer.highest_spill(Instant::now()) > 0.5);
+    let mut without = configuration(2);
+    without.services.remove("orders");
+    let with = view.configuration.replace(Arc::new(without));
+    balancer.retain_known(&view, Instant::now());
+    view.configuration = with;
+    send(&mut balancer, &view, "orders", 1).await;
+    let share = balancer.highest_spill(Instant::now());
+    assert!(share < 0.1, "{share}");
+}
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -160,6 +160,11 @@
         Ok(())
     }
 
+    /// Removes the state of services that are no longer known.
+    pub fn retain(&mut self, known: impl Fn(&id::Service) -> bool) {
+        self.services.retain(|service, _| known(service));
+    }
+
     fn state(&mut self, service: &id::Service, now: Instant) -> &mut State {
         let state = self.services.entry(service.clone());
         state.or_insert_with(|| State {
