sched, direct, steer: plainer wording of comments and names

No change of behaviour. Figurative terms in comments of the forecast, the trend and the passes are replaced; awaits_rest is now awaits_full_plan, and the tests of the choice of the zone speak of reports.

--- a/crates/direct/src/balancer/passes.rs
+++ b/crates/direct/src/balancer/passes.rs
@@ -1,4 +1,4 @@
-//! How long the passes of groups last, and how many requests the groups bear.
+//! Measured duration of the passes of groups, and the comfortable load that follows from it.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -14,7 +14,7 @@
 const LOAD_TTL: Duration = Duration::from_millis(50);
 /// Shortest time between two notices of a group's comfortable load.
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
-/// Least change of a comfortable load that is worth a notice, in requests per engine.
+/// Least change of a comfortable load that is reported, in requests per engine.
 const MIN_CHANGE: f64 = 0.5;
 
 /// Service of a group, and the group if it is known.
@@ -68,7 +68,7 @@
     }
 }
 
-/// Comfortable load of a group as it was last told.
+/// Comfortable load of a group as it was last reported.
 #[derive(Clone, Copy)]
 struct Notice {
     /// Time at which the comfortable load was last calculated.
@@ -78,7 +78,7 @@
     load: f64,
 }
 
-/// What a gap between two events shows.
+/// Result of recording a gap between two events.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reading {
     /// How far the duration of a pass was from its prediction, at most once for each pass.
@@ -87,7 +87,7 @@
     pub comfort: Option<Comfort>,
 }
 
-/// Number of requests that a group bears.
+/// Comfortable load of a group, and the measurements that it follows from.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Comfort {
     /// Service of the group.
--- a/crates/sched/src/forecast.rs
+++ b/crates/sched/src/forecast.rs
@@ -20,8 +20,8 @@
 /// Part of the excess of a pass at full slots that does not depend on the requests in flight, such as reading
 /// prompts. Under one skew, passes at 6 and at 10 requests per engine lasted 69 and 92 ms beyond their base.
 const FIXED_SHARE: f64 = 0.5;
-/// Least load from which the excess at full slots is remembered, as a part of the slots: less load says little of
-/// it, and a load that is known late seems small while it grows.
+/// Least load from which the excess at full slots is remembered, as a part of the slots: at less load,
+/// the estimate is inaccurate, and a load that is known late seems small while it grows.
 const MIN_LOAD: f64 = 0.25;
 /// Time over which the recent excess is averaged, and the longest time between two passes that follow each other.
 const RECENT: Duration = Duration::from_millis(500);
--- a/crates/sched/src/locality.rs
+++ b/crates/sched/src/locality.rs
@@ -14,7 +14,7 @@
 const MAX_ELAPSED: Duration = Duration::from_millis(500);
 /// Time over which a share is averaged: about that for which requests are in flight, 2 s, plus the age of
 /// the load reports. With 1 s, requests that had not arrived yet counted as arrived, and the zone that
-/// received them had 20% more than its slots (test `late_news_does_not_oscillate`).
+/// received them had 20% more than its slots (test `late_reports_do_not_oscillate`).
 const AVERAGING_TIME: Duration = Duration::from_millis(2500);
 /// Largest averaged share with which demand is estimated; the estimate has no bound near 1.
 const MAX_AVERAGE: f64 = 0.95;
--- a/crates/sched/src/trend.rs
+++ b/crates/sched/src/trend.rs
@@ -4,7 +4,7 @@
 
 /// Least time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a sample after which earlier ones say nothing of the present.
+/// Time without a sample after which earlier ones are discarded.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Longest time that a request is taken to last, so that the number of samples is bounded.
 const MAX_DURATION: Duration = Duration::from_secs(4);
--- a/crates/sched/tests/suite/zone_spill.rs
+++ b/crates/sched/tests/suite/zone_spill.rs
@@ -8,7 +8,7 @@
 const ENGINES: u32 = 20;
 const SLOTS: u32 = 10;
 /// Steps after which entries hear of each other's load.
-const NEWS_AGE: usize = 5;
+const REPORT_AGE: usize = 5;
 
 /// Builds the partitions of zones `z0`, `z1` and so on, with one group each, from their requests.
 fn partitions(requests: &[u32]) -> Vec<Partition> {
@@ -84,8 +84,8 @@
         let (current, known) = (&self.in_flight[0], self.in_flight.back().unwrap());
         let (mut next, mut highest) = (current.clone(), 0.0);
         for (index, locality) in self.entries.iter_mut().enumerate() {
-            let news = |z: usize| sum(known, z) - known[index][z] + current[index][z];
-            let requests: Vec<u32> = (0..zones).map(|z| news(z).round() as u32).collect();
+            let reported = |z: usize| sum(known, z) - known[index][z] + current[index][z];
+            let requests: Vec<u32> = (0..zones).map(|z| reported(z).round() as u32).collect();
             let (share, sent) = decide(locality, &partitions(&requests), 10.0, 40, self.now);
             highest = f64::max(highest, share);
             let arriving = demand[index % zones] / 10.0 / self.duration;
@@ -95,7 +95,7 @@
         }
         let loads = (0..zones).map(|zone| sum(&next, zone)).collect();
         self.in_flight.push_front(next);
-        self.in_flight.truncate(NEWS_AGE + 1);
+        self.in_flight.truncate(REPORT_AGE + 1);
         self.now += STEP;
         (loads, highest)
     }
@@ -188,9 +188,9 @@
     assert!(before < 0.05, "{before}");
 }
 
-/// Guards against overload and oscillation when ten entries act on the same late news.
+/// Guards against overload and oscillation when ten entries act on the same late reports.
 #[test]
-fn late_news_does_not_oscillate() {
+fn late_reports_do_not_oscillate() {
     // Zones, demand of each in requests in flight, time of a request in steps.
     let table: &[(&[f64], f64)] = &[
         (&[600.0, 60.0, 60.0], 20.0),
@@ -229,7 +229,7 @@
     }
 }
 
-/// Guards against traffic between zones at the crests of waves that the zones themselves can bear, and
+/// Guards against traffic between zones at the crests of waves that the zones can serve themselves, and
 /// against leaving spare capacity elsewhere unused at those that they cannot.
 #[test]
 fn waves_out_of_phase() {
--- a/crates/steer/src/history.rs
+++ b/crates/steer/src/history.rs
@@ -14,7 +14,6 @@
 /// Distance between older and newer samples that is tolerated even without sampling noise, for the
 /// rounding of counts; distances are from 0 to 1.
 const TOLERATED_DISTANCE: f64 = 0.02;
-
 /// Standard deviations by which an expert's share must differ to count as changed: with less, the noise of the
 /// newest samples can make a change look later than it was.
 const SIGNIFICANCE: f64 = 3.5;
--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -441,7 +441,7 @@
                 self.placement = Some(placement);
                 self.placement_version = version;
                 // The full plan follows a first response at once.
-                let cooldown = if self.relief.awaits_rest() {
+                let cooldown = if self.relief.awaits_full_plan() {
                     Duration::ZERO
                 } else {
                     self.tuning.cooldown
--- a/crates/steer/src/relief.rs
+++ b/crates/steer/src/relief.rs
@@ -128,7 +128,7 @@
     }
 
     /// Returns whether a sudden change has had its first response but not its full plan.
-    pub(crate) const fn awaits_rest(&self) -> bool {
+    pub(crate) const fn awaits_full_plan(&self) -> bool {
         matches!(
             self.change,
             Some(Change {
