--- a/crates/direct/tests/suite/zone_choice.rs
+++ b/crates/direct/tests/suite/zone_choice.rs
@@ -233,3 +233,43 @@
     let spills = balancer.take_spills();
     assert!(spills.iter().any(|spill| spill.share > 0.05), "{spills:?}");
 }
+
+/// Guards against an overflow in the round trip, which would stop the entry: delays are published, and only
+/// limited by the range of `Duration`.
+#[tokio::test(start_paused = true)]
+async fn senseless_delay() {
+    let mut balancer = balancer();
+    let mut view = zones("orders", &mut balancer, false);
+    let mut far = configuration(2);
+    let engines = far.services.values_mut().filter_map(|s| s.engine.as_mut());
+    for engine in engines {
+        engine.zone_delays.push(ZoneDelay {
+            from: "a".into(),
+            to: "b".into(),
+            delay: Duration::MAX,
+        });
+    }
+    view.configuration = Some(Arc::new(far));
+    let service = "orders".into();
+    let choice = balancer.choose(&view, &attempt(&service), Instant::now());
+    assert!(choice.is_ok(), "{choice:?}");
+}
+
+/// Guards against state that is kept for each service name that was ever configured; a new service of the same
+/// name would also start with the share of the old one.
+#[tokio::test(start_paused = true)]
+async fn removed_service_forgotten() {
+    let mut balancer = balancer();
+    let mut view = zones("orders", &mut balancer, false);
+    view.endpoints.retain(|_, known| known.endpoint.zone != "a");
+    send(&mut balancer, &view, "orders", 100).await;
+    assert!(balancer.highest_spill(Instant::now()) > 0.5);
+    let mut without = configuration(2);
+    without.services.remove("orders");
+    let with = view.configuration.replace(Arc::new(without));
+    balancer.retain_known(&view, Instant::now());
+    view.configuration = with;
+    send(&mut balancer, &view, "orders", 1).await;
+    let share = balancer.highest_spill(Instant::now());
+    assert!(share < 0.1, "{share}");
+}
