--- a/crates/fake/tests/suite/at_most_once.rs
+++ b/crates/fake/tests/suite/at_most_once.rs
@@ -197,9 +197,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn service_down() {
-    let (fleet, client, entries) = start_fleet().await;
+    let (mut fleet, client, entries) = start_fleet().await;
     let key = client.request_key(entries[0]).await.unwrap();
-    fleet.backends["orders-a-0"].signal(Signal::Kill).unwrap();
+    // A service that has not ended yet may still accept a connection, and the answer is then "unknown".
+    let service = fleet.backends.get_mut("orders-a-0").unwrap();
+    service.signal(Signal::Kill).unwrap();
+    assert!(
+        service
+            .wait(Duration::from_secs(60))
+            .await
+            .unwrap()
+            .is_some()
+    );
     let response = client
         .send_order(entries[0], &key, "/v1/orders", "o")
         .await
