steer: no first response where the leader cannot afford its comparison of samples

The comparison of samples grows with ranks x counts, on 0.15 of a core. Change: map.first_counts, 100,000 by default, bounds the counts of all ranks; above it the leader plans as before. The tests of large groups keep their checks with the bound lifted.

--- a/crates/steer/src/leader.rs
+++ b/crates/steer/src/leader.rs
@@ -97,6 +97,10 @@
     /// Minimum number of choices per set since the change for a first response.
     #[serde(rename = "first_mass")]
     pub first_min_choices: f64,
+    /// Largest number of counts of all ranks together for a first response. Comparing the samples of groups of 63 and
+    /// 72 ranks with 1,728 counts each delayed the switches of a leader with 0.15 of a core.
+    #[serde(rename = "first_counts")]
+    pub first_max_counts: usize,
 }
 
 impl Default for Tuning {
@@ -114,6 +118,7 @@
             gap_share: 0.75,
             first_copy_time: Duration::from_millis(60),
             first_min_choices: 5_000.0,
+            first_max_counts: 100_000,
         }
     }
 }
@@ -285,8 +290,13 @@
         {
             popularity.add(&status.counts, now);
             let sets = popularity.sets();
-            self.relief
-                .record((rank, self.ranks), sets, &status.counts, now);
+            self.relief.record(
+                (rank, self.ranks),
+                self.tuning.first_max_counts,
+                sets,
+                &status.counts,
+                now,
+            );
         }
         if let Some(list) = &status.list {
             self.record_list(rank, list, status.map);
--- a/crates/steer/src/relief.rs
+++ b/crates/steer/src/relief.rs
@@ -28,6 +28,8 @@
     base_pass_time: Duration,
     /// Tightest gap target of the service's routes; without one, relief does not take effect.
     gap_target: Option<Duration>,
+    /// Whether the group has too many counts to compare its samples.
+    is_too_large: bool,
     history: Option<History>,
     change: Option<Change>,
     checked_at: Option<Instant>,
@@ -57,17 +59,19 @@
     }
 
     pub(crate) const fn is_configured(&self) -> bool {
-        self.gap_target.is_some()
+        self.gap_target.is_some() && !self.is_too_large
     }
 
     /// Records a sample, if a route states a longest pause.
     pub(crate) fn record(
         &mut self,
         (rank, ranks): (usize, usize),
+        max_counts: usize,
         sets: NonZeroUsize,
         sample: &Sample,
         now: Instant,
     ) {
+        self.is_too_large = ranks.saturating_mul(sample.len()) > max_counts;
         if self.is_configured() {
             let history = self
                 .history
@@ -105,8 +109,10 @@
 
     /// Returns whether a pass of this duration exceeds a share of the tightest gap target.
     pub(crate) fn is_needed(&self, pass: Duration, gap_share: f64) -> bool {
-        self.gap_target
-            .is_some_and(|target| pass > target.mul_f64(gap_share))
+        self.is_configured()
+            && self
+                .gap_target
+                .is_some_and(|target| pass > target.mul_f64(gap_share))
     }
 
     /// Returns whether a sudden change has not been answered in full.
--- a/crates/steer/tests/suite/sudden_demand.rs
+++ b/crates/steer/tests/suite/sudden_demand.rs
@@ -63,6 +63,14 @@
     random: SmallRng,
 }
 
+/// Returns tuning with a first response for groups of any size.
+fn tuning() -> Tuning {
+    Tuning {
+        first_max_counts: usize::MAX,
+        ..Tuning::default()
+    }
+}
+
 impl Group {
     /// Creates a group; reports are spread over the interval between two counts, unless `in_step`.
     fn new(ranks: usize, sets: usize, experts: usize, in_step: bool) -> Self {
@@ -82,7 +90,7 @@
             count_interval,
             started_at: now,
             time: 0,
-            leader: Leader::new(Tuning::default(), now),
+            leader: Leader::new(tuning(), now),
             ranks: (0..ranks).map(rank).collect(),
             placement: Balancer::initial(sets, experts, ranks),
             map: 0,
@@ -106,7 +114,7 @@
     /// Replaces the leader by one that knows nothing.
     fn restart_leader(&mut self) {
         let version = 1_000_000 + self.map;
-        self.leader = Leader::new(Tuning::default(), self.now()).min_version(version);
+        self.leader = Leader::new(tuning(), self.now()).min_version(version);
         self.configure(GAP_TARGET);
     }
 
