direct: retries and refusals state how much of the budget was used

Change: no logic. `retry granted` and the refusal name the retries, the requests and the limit; `apricot_direct_retries_total` counts both decisions; `try_retry` returns the balance, the tests of it compare as before.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -28,8 +28,8 @@
     spill::Spill,
 };
 use crate::{
-    Blame, Bounds, Budget, Departures, Health, Limits, Loads, Part, Pauses, Stalls, Suspects, cold,
-    departures::Incarnation, suspects::Fingerprint, terms::Terms,
+    Blame, Bounds, Budget, Departures, Health, Limits, Loads, Part, Pauses, Stalls, Suspects,
+    budget, cold, departures::Incarnation, suspects::Fingerprint, terms::Terms,
 };
 
 /// Number of engines of a group that must run requests without progress for the group to count as
@@ -108,6 +108,8 @@
     pub service: id::Service,
     /// Time at which the endpoint was chosen.
     pub chosen_at: Instant,
+    /// Use of the retry budget before the attempt, if that is a retry.
+    pub retry: Option<budget::Balance>,
 }
 
 /// Chosen endpoint, or the error response if there is none.
@@ -242,11 +244,12 @@
                 .detail("no endpoint is present, reachable and making progress"));
         };
         let entries = self.entry_count(now);
-        if attempt.is_retry && !self.budget.try_retry(attempt.service, entries, now) {
-            let detail = "the budget for repeats is used up";
-            return Err(self.fail_overloaded(ErrorKind::Overloaded).detail(detail));
-        }
-        if !attempt.is_retry {
+        if attempt.is_retry {
+            match self.budget.try_retry(attempt.service, entries, now) {
+                Ok(balance) => placement.retry = Some(balance),
+                Err(balance) => return Err(self.fail_exhausted(&balance)),
+            }
+        } else {
             self.budget.record_request(attempt.service, now);
         }
         placement.prompt_tokens = attempt.prompt_tokens;
@@ -418,6 +421,12 @@
         }
     }
 
+    /// Returns how many retries were decided on since the start of the process.
+    #[must_use]
+    pub const fn retry_totals(&self) -> budget::Totals {
+        self.budget.totals()
+    }
+
     /// Returns the refusal if the last attempt was refused because of its rank.
     pub const fn take_outranked(&mut self) -> Option<Outranked> {
         self.outranked.take()
@@ -492,9 +501,23 @@
             incarnation: endpoint.started_ms,
             service: attempt.service.clone(),
             chosen_at: now,
+            retry: None,
         }
     }
 
+    /// Creates the fault for a request that may not be sent again.
+    fn fail_exhausted(&mut self, balance: &budget::Balance) -> Fault {
+        let budget::Balance {
+            retries,
+            requests,
+            allowed,
+        } = balance;
+        let detail = format!(
+            "the budget for repeats is used up: {retries} retries, {allowed:.1} allowed, {requests} requests"
+        );
+        self.fail_overloaded(ErrorKind::Overloaded).detail(detail)
+    }
+
     /// Creates the fault for a service whose endpoints are all at their limit.
     fn fail_overloaded(&mut self, kind: ErrorKind) -> Fault {
         let wait = self
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -1,3 +1,5 @@
+//! Limit of the retries that all entries together send.
+
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
@@ -30,6 +32,27 @@
     /// Start of this process, which does not know how many retries it sent before a restart.
     started: Instant,
     services: HashMap<id::Service, Usage>,
+    totals: Totals,
+}
+
+/// Use of the budget of one service, at the time of a decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Balance {
+    /// Retries that count against the budget, without the one that is decided on.
+    pub retries: usize,
+    /// Requests that earn retries.
+    pub requests: usize,
+    /// Retries that are allowed in all.
+    pub allowed: f64,
+}
+
+/// Decisions since the start of the process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Totals {
+    /// Retries that were sent.
+    pub granted: u64,
+    /// Retries for which the budget had nothing left.
+    pub refused: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -49,6 +72,7 @@
             window,
             started,
             services: HashMap::new(),
+            totals: Totals::default(),
         }
     }
 
@@ -59,11 +83,20 @@
         window::remove_expired(&mut usage.requests, self.window, now);
     }
 
-    /// Spends one retry of this entry, one of `entries`; returns false if none is left.
+    /// Spends one retry of this entry, one of `entries`; returns the balance before it.
     ///
     /// In its first window a process gets a retry of the reserve in place of its part of the fixed
     /// allowance: it may have used that part before a restart, and may not have heard of all entries.
-    pub fn try_retry(&mut self, service: &id::Service, entries: usize, now: Instant) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Returns the balance if no retry is left.
+    pub fn try_retry(
+        &mut self,
+        service: &id::Service,
+        entries: usize,
+        now: Instant,
+    ) -> Result<Balance, Balance> {
         let usage = self.services.entry(service.clone()).or_default();
         window::remove_expired(&mut usage.requests, self.window, now);
         let retry_window = self.window.mul_f64(RETRY_WINDOW_FACTOR);
@@ -74,11 +107,23 @@
         } else {
             STARTUP_RETRIES.min(self.allowance * STARTUP_RESERVE)
         };
-        let allowed = self.ratio * usage.requests.len() as f64 + allowance;
-        if usage.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        let balance = Balance {
+            retries: usage.retries.len(),
+            requests: usage.requests.len(),
+            allowed: self.ratio * usage.requests.len() as f64 + allowance,
+        };
+        if balance.retries as f64 + 1.0 > balance.allowed {
+            self.totals.refused += 1;
+            return Err(balance);
         }
         usage.retries.push_back(now);
-        true
+        self.totals.granted += 1;
+        Ok(balance)
+    }
+
+    /// Returns how many retries were decided on since the start of the process.
+    #[must_use]
+    pub const fn totals(&self) -> Totals {
+        self.totals
     }
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -24,7 +24,7 @@
     Attempt, Balancer, Outcome, Placement, Protocol,
     balancer::Choice,
     body::{self, Body},
-    dispatch::{Dispatch, log_outcome, log_spill},
+    dispatch::{Dispatch, log_outcome, log_retry, log_spill},
     forward::build_request,
     metadata,
     metrics::{MAX_LEVEL, Metrics},
@@ -371,6 +371,7 @@
     async fn attempt(&mut self, placement: Placement) -> Disposition {
         let dispatch = Dispatch::new(self.context.clone(), placement);
         self.tried.push(dispatch.placement.endpoint.clone());
+        log_retry(&self.request.id, &dispatch.placement);
         log::info!(
             request:% = self.request.id,
             route:% = self.route.name,
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -32,6 +32,21 @@
     );
 }
 
+/// Logs how much of the retry budget was used before an attempt, if that is a retry.
+pub(crate) fn log_retry(id: &SmolStr, placement: &Placement) {
+    let Some(balance) = placement.retry else {
+        return;
+    };
+    log::info!(
+        request:% = id,
+        service:% = placement.service,
+        retries = balance.retries,
+        requests = balance.requests,
+        allowed = balance.allowed;
+        "retry granted"
+    );
+}
+
 /// Logs how the knowledge of an endpoint's limit changed, and updates the metrics; `limited` endpoints state one.
 pub(crate) fn log_limit(
     context: &Context,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,7 +8,7 @@
 mod balancer;
 mod blame;
 mod body;
-mod budget;
+pub mod budget;
 mod call;
 pub mod cold;
 mod credit;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,6 +2,8 @@
     Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
+use crate::budget;
+
 /// Upper bounds of the latency histogram buckets, in seconds; they are densest around the latency
 /// targets that routes usually state.
 const BUCKETS: [f64; 12] = [
@@ -23,6 +25,8 @@
     pub(crate) sends: IntCounterVec,
     /// Client requests that were refused because more urgent ones have priority, by level.
     pub(crate) outranked: IntCounterVec,
+    /// Retries by decision of the retry budget: granted or refused.
+    pub(crate) retries: IntCounterVec,
     /// Attempts at endpoints in other zones.
     pub(crate) other_zone_sends: IntCounter,
     /// Highest share of the requests that leaves the zone, over the services.
@@ -44,6 +48,14 @@
 }
 
 impl Metrics {
+    /// Raises the counters of retries to what the budget has decided.
+    pub(crate) fn record_retries(&self, totals: budget::Totals) {
+        for (decision, total) in [("granted", totals.granted), ("refused", totals.refused)] {
+            let counter = self.retries.with_label_values(&[decision]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
     /// Creates the metrics and registers them.
     ///
     /// # Errors
@@ -94,6 +106,11 @@
                 "Requests refused for more urgent ones by level.",
                 "level",
             )?,
+            retries: counter(
+                "apricot_direct_retries_total",
+                "Retries by decision of the budget.",
+                "decision",
+            )?,
             first_byte: histogram(
                 "apricot_direct_first_byte_seconds",
                 "Arrival to first byte.",
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -9,7 +9,7 @@
 use crate::{
     Attempt, Outcome, Placement,
     call::{Context, MAX_ATTEMPTS, MIN_RETRY_TIME, millis},
-    dispatch::{Dispatch, log_outcome},
+    dispatch::{Dispatch, log_outcome, log_retry},
     forward::build_request,
     metadata,
     pool::Error,
@@ -90,6 +90,7 @@
         let dispatch = Dispatch::new(self.context.clone(), placement);
         let endpoint = dispatch.placement.endpoint.clone();
         self.tried.push(endpoint.clone());
+        log_retry(&self.request.id, &dispatch.placement);
         log::info!(request:% = self.request.id, endpoint:% = endpoint, after:? = last_id, left_ms = millis(time_left); "stream is resumed");
         let forwarded = metadata::Forwarded {
             endpoint: &endpoint,
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -117,11 +117,12 @@
             known.is_some_and(|known| current.is_available(known, now))
         };
         context.pool.sweep(is_available);
-        let (lowest, share) = context.with_balancer(|balancer| {
+        let (lowest, share, retries) = context.with_balancer(|balancer| {
             balancer.retain_known(&current, now);
             let lowest = balancer.lowest_comfortable_load(&current, now);
-            (lowest, balancer.highest_spill(now))
+            (lowest, balancer.highest_spill(now), balancer.retry_totals())
         });
+        context.metrics.record_retries(retries);
         context.metrics.comfortable_load.set(lowest.unwrap_or(0.0));
         context.metrics.other_zone_share.set(share);
     }
--- a/crates/direct/tests/suite/retry_budget.rs
+++ b/crates/direct/tests/suite/retry_budget.rs
@@ -12,7 +12,7 @@
     time::advance(WINDOW).await;
     let now = Instant::now();
     let granted = (0..100)
-        .filter(|_| budget.try_retry(&service, 7, now))
+        .filter(|_| budget.try_retry(&service, 7, now).is_ok())
         .count();
     assert_eq!(
         granted, 9,
@@ -28,15 +28,19 @@
         budget.record_request(&service, Instant::now());
     }
     let granted = (0..100)
-        .filter(|_| budget.try_retry(&service, 7, Instant::now()))
+        .filter(|_| budget.try_retry(&service, 7, Instant::now()).is_ok())
         .count();
     assert_eq!(granted, 10);
     time::advance(WINDOW).await;
     assert!(
-        !budget.try_retry(&service, 7, Instant::now()),
+        budget.try_retry(&service, 7, Instant::now()).is_err(),
         "requests outside the window earn nothing"
     );
-    assert!(!budget.try_retry(&"other".into(), 7, Instant::now()));
+    assert!(
+        budget
+            .try_retry(&"other".into(), 7, Instant::now())
+            .is_err()
+    );
 }
 
 /// Guards against too many retries after a simultaneous start. In benchmark run `trouble-1`, 35 entries
@@ -47,7 +51,7 @@
     let mut budget = Budget::new(0.2, 208.0, WINDOW, Instant::now());
     let service = "drafts".into();
     time::advance(WINDOW / 2).await;
-    let granted = (0..100).filter(|_| budget.try_retry(&service, 8, Instant::now()));
+    let granted = (0..100).filter(|_| budget.try_retry(&service, 8, Instant::now()).is_ok());
     let granted = granted.count();
     assert!(35 * granted < 208, "{granted}");
 }
@@ -60,7 +64,8 @@
     for (fleet, allowance) in [(7, 90), (35, 208), (99, 448), (790, 3555)] {
         let service = "drafts".into();
         let count = |budget: &mut Budget| {
-            let retries = (0..1000).filter(|_| budget.try_retry(&service, fleet, Instant::now()));
+            let retries =
+                (0..1000).filter(|_| budget.try_retry(&service, fleet, Instant::now()).is_ok());
             fleet * retries.count()
         };
         let mut budget = Budget::new(0.2, f64::from(allowance), WINDOW, Instant::now());
@@ -83,7 +88,7 @@
     let mut budget = Budget::new(0.0, 80.0, WINDOW, Instant::now());
     let service = "drafts".into();
     time::advance(WINDOW).await;
-    let retry = |budget: &mut Budget| budget.try_retry(&service, 6, Instant::now());
+    let retry = |budget: &mut Budget| budget.try_retry(&service, 6, Instant::now()).is_ok();
     assert_eq!((0..100).filter(|_| retry(&mut budget)).count(), 10);
     time::advance(WINDOW + Duration::from_millis(500)).await;
     assert!(!retry(&mut budget), "the first ones may arrive late");
