--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod endpoint_limits;
 mod endpoint_notices;
 mod event_split;
+mod fleet_retries;
 mod group_stalls;
 mod health_ejection;
 mod load_reports;
