direct: the retry limits of all processes add up to that of the fleet

Cause: each process kept the ratio to the requests of its own last ten seconds, and such limits do not add up. A window may hold the repeats that one process earned in the window before it, and those that its successor, or another entry to which the load has moved, earns in the window itself. Each start brought a retry of the fixed allowance, and an entry that knows no other took an eighth of it. Class: a bound of the whole fleet kept by per-process counts over windows that do not coincide. Change: each process keeps to the mean of a window and the one before it, for every window that ends now or later. The mean is linear in the requests, so that the sum over processes is the mean of the fleet, which is at most the larger of the two. The fixed allowance is earned with uptime in the same way, at most three retries for an entry. A retry counts until it was answered or given up, and a window and a tenth beyond. Requests that are refused earn too, as the rule counts them. Ruled out: half of the ratio would hold as well, but halves a steady flow.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -220,6 +220,13 @@
             random: SmallRng::seed_from_u64(seed),
         }
     }
+
+    /// Allows all retries of this entry's share at once, as no process ran before on its VM.
+    #[must_use]
+    pub fn first_start(mut self) -> Self {
+        self.budget = self.budget.first_start();
+        self
+    }
 }
 
 /// # Endpoint choice
@@ -231,6 +238,9 @@
     /// Returns a fault that states "not run" if no endpoint may get the request now.
     pub fn choose(&mut self, view: &View, attempt: &Attempt<'_>, now: Instant) -> Choice {
         self.outranked = None;
+        if !attempt.is_retry {
+            self.budget.record_request(attempt.service, now);
+        }
         if !self.suspects.allows(attempt.fingerprint, now) {
             return Err(ErrorKind::Suspect.into());
         }
@@ -243,14 +253,12 @@
                 .fail_unavailable(ErrorKind::NoEndpoint, attempt)
                 .detail("no endpoint is present, reachable and making progress"));
         };
-        let entries = self.entry_count(now);
         if attempt.is_retry {
+            let entries = self.entry_count(now);
             match self.budget.try_retry(attempt.service, entries, now) {
                 Ok(balance) => placement.retry = Some(balance),
                 Err(balance) => return Err(self.fail_exhausted(&balance)),
             }
-        } else {
-            self.budget.record_request(attempt.service, now);
         }
         placement.prompt_tokens = attempt.prompt_tokens;
         self.loads
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -23,6 +23,13 @@
             .record_response_start(&placement.endpoint, placement.prompt_tokens);
     }
 
+    /// Records that an attempt was answered or given up; a retry has arrived by now, if it ever does.
+    pub fn record_arrival(&mut self, placement: &Placement, now: Instant) {
+        if placement.retry.is_some() {
+            self.budget.record_arrival(&placement.service, now);
+        }
+    }
+
     /// Records how an attempt ended; returns whether the endpoint is now ejected.
     pub fn record_outcome(
         &mut self,
@@ -169,6 +176,7 @@
         self.stalls.retain(known);
         self.limits.retain(known, now);
         self.departures.retain(known, now);
+        self.budget.remove_expired(now);
         self.pauses.remove_expired(now);
         self.passes.remove_expired(now);
         self.latency.retain(known);
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -133,11 +133,14 @@
         }
     }
 
-    /// Records that the response has started; later calls do nothing.
+    /// Records that the response has started, or the attempt has ended without one; later calls do nothing.
     pub(crate) fn record_start(&mut self) {
         if !std::mem::replace(&mut self.started, true) {
-            self.context
-                .with_balancer(|balancer| balancer.record_response_start(&self.placement));
+            let now = Instant::now();
+            self.context.with_balancer(|balancer| {
+                balancer.record_response_start(&self.placement);
+                balancer.record_arrival(&self.placement, now);
+            });
         }
     }
 
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -38,16 +38,19 @@
     protocol: Arc<dyn Protocol>,
     source: Arc<dyn Source>,
 ) -> anyhow::Result<()> {
-    log::info!(process:% = settings.name, zone:% = settings.zone, build = env!("CARGO_PKG_VERSION"); "start");
+    log::info!(process:% = settings.name, zone:% = settings.zone, first_start = settings.first_start, build = env!("CARGO_PKG_VERSION"); "start");
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
     let follower = Arc::new(Follower::new(&registry)?);
-    let balancer = Balancer::new(
+    let mut balancer = Balancer::new(
         settings.zone.clone(),
         settings.bounds.clone(),
         rand::random(),
         Instant::now(),
     );
+    if settings.first_start {
+        balancer = balancer.first_start();
+    }
     let context = Arc::new(Context {
         protocol,
         view: follower.subscribe(),
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -21,6 +21,9 @@
     /// given here is ignored.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that no entry ran before on this VM.
+    #[serde(default)]
+    pub first_start: bool,
     /// Limits that all entries of the fleet keep together.
     pub bounds: Bounds,
     /// Lowest level that is logged.
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -281,6 +281,7 @@
         },
         store: unused_address(),
         seeds: Vec::new(),
+        first_start: true,
         bounds: support::bounds(),
         log: conf::Level::Info,
     };
