fleet, platform: a registration with an endless cold start does not end its readers

Cause: the end of a cold start is added to the clock. `cold_left_ms` up to 1.8e22 fits a `Duration`, and from 9.2e21 on the sum is out of the clock's range and panics in the task that follows the store.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -3,6 +3,9 @@
 use conf::id;
 use serde::{Deserialize, Serialize};
 
+/// Longest cold start of an endpoint.
+pub const MAX_COLD_TIME: Duration = Duration::from_secs(3600);
+
 /// Lifecycle stage of an endpoint.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 mod view;
 
 pub use duty::{Always, Duty};
-pub use endpoint::{Endpoint, Stage};
+pub use endpoint::{Endpoint, MAX_COLD_TIME, Stage};
 pub use follower::Follower;
 pub use item::{Change, Content, Item, Page};
 pub use pace::{Pace, Patience};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Change, Configuration, Content, Endpoint, Item, Page, Revision, Stage, View, view::Registration,
+    Change, Configuration, Content, Endpoint, Item, MAX_COLD_TIME, Page, Revision, Stage, View,
+    view::Registration,
 };
 
 /// Time after a store outage in which endpoints whose registrations lapsed during it register again.
@@ -339,7 +340,9 @@
     /// Records the end of an endpoint's cold start, counted from the arrival of its registration.
     fn register(&mut self, id: &id::Endpoint, endpoint: &Endpoint, now: Instant) {
         self.lapsed.remove(id);
-        self.cold_until.insert(id.clone(), now + endpoint.cold_time);
+        // Other entries may pass on a time that is out of the clock's range.
+        let cold_time = endpoint.cold_time.min(MAX_COLD_TIME);
+        self.cold_until.insert(id.clone(), now + cold_time);
     }
 
     fn remove(&mut self, key: &str, revision: Revision, now: Instant, updates: &mut Vec<Update>) {
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod gap_target;
 mod lapsed_registrations;
+mod long_cold_start;
 mod replica_order;
 mod store_duty;
 mod store_eras;
