direct: a refusal without an id on a kept connection is not believed

What callers saw (a report of another operator): "not run, try again" for requests that a server had run or was running. Cause: a faulty endpoint that writes an earlier refusal once more on a kept connection is read as the answer to the next request. With an id it was discarded; without one it counted as a refusal of that request. Change: `metadata::Response::belongs_to` decides for first attempts and for resumed streams alike: a refusal without an id counts only on a new connection. Else the endpoint counts as one that may have run the request, and the connection is closed. A refusal with a foreign id no longer counts as "not run" for a resumed stream either.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -429,11 +429,7 @@
         let metadata = self.context.protocol.decode_response(&head);
         dispatch.record_notices(&metadata);
         dispatch.record_limit(&self.request.id, &metadata);
-        if metadata
-            .request_id
-            .as_ref()
-            .is_some_and(|id| *id != self.request.id)
-        {
+        if !metadata.belongs_to(&self.request.id, is_new) {
             // The connection carries a response to an earlier request; dropping it closes it.
             self.possible_runs += 1;
             self.log_outcome(
--- a/crates/direct/src/metadata.rs
+++ b/crates/direct/src/metadata.rs
@@ -80,3 +80,17 @@
     /// Request rate that the endpoint takes from all entries together.
     pub limit: Limit,
 }
+
+impl Response {
+    /// Returns whether this is the response to the request `id`, which was sent on a new connection or a kept one.
+    ///
+    /// A refusal without an id is one of this request only if no other was sent on the connection: a faulty
+    /// endpoint may write an earlier one again.
+    #[must_use]
+    pub fn belongs_to(&self, id: &SmolStr, is_new_connection: bool) -> bool {
+        match &self.request_id {
+            Some(own) => own == id,
+            None => is_new_connection || !self.not_run,
+        }
+    }
+}
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -122,11 +122,8 @@
                 let metadata = self.context.protocol.decode_response(&head);
                 dispatch.record_notices(&metadata);
                 dispatch.record_limit(&self.request.id, &metadata);
-                let matches_id = metadata
-                    .request_id
-                    .as_ref()
-                    .is_none_or(|id| *id == self.request.id);
-                if matches_id && metadata.signed && !metadata.encoded && head.status.is_success() {
+                let is_own = metadata.belongs_to(&self.request.id, received.is_new);
+                if is_own && metadata.signed && !metadata.encoded && head.status.is_success() {
                     self.possible_runs += 1;
                     return Some(Upstream::new(
                         dispatch,
@@ -136,7 +133,7 @@
                         last_id,
                     ));
                 }
-                if !metadata.not_run && !metadata.misdirected {
+                if !is_own || !metadata.not_run && !metadata.misdirected {
                     self.possible_runs += 1;
                 }
                 let outcome = if metadata.misdirected {
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -417,6 +417,93 @@
     assert_eq!(healthy.request_count(), 6);
 }
 
+const REFUSAL: &str = "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Returns a script that refuses the first request, and answers each later one with that refusal again and
+/// then, as it ran it, with a response.
+fn repeat_refusal() -> Script {
+    let count = AtomicU16::new(0);
+    Arc::new(move |r: &str| {
+        let refusal = Action::Write(REFUSAL.to_owned());
+        match count.fetch_add(1, Ordering::Relaxed) {
+            0 => vec![refusal],
+            _ => vec![refusal, ok_response(r, "done")],
+        }
+    })
+}
+
+/// Guards against an earlier refusal that a faulty endpoint writes again on a kept connection, and that is
+/// taken for one of a request which it runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_disbelieved() {
+    let endpoint = TestEndpoint::start(repeat_refusal()).await;
+    let entry = start_entry("orders", &[&endpoint]).await;
+    let response = call(entry, LOOK).await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    time::sleep(Duration::from_millis(50)).await;
+    let response = call(entry, LOOK).await;
+    assert_eq!(endpoint.request_count(), 2);
+    assert!(
+        response.starts_with("HTTP/1.1 502"),
+        "the endpoint has run the request: {response}"
+    );
+}
+
+/// Guards against the same for a stream that is sent on: the endpoint counts as one that may have run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_counts_as_run() {
+    let faulty = [
+        TestEndpoint::start(repeat_refusal()).await,
+        TestEndpoint::start(repeat_refusal()).await,
+        TestEndpoint::start(repeat_refusal()).await,
+    ];
+    let entry = start_entry("drafts", &[&faulty[0], &faulty[1], &faulty[2]]).await;
+    call(entry, DRAFT).await;
+    call(entry, DRAFT).await;
+    time::sleep(Duration::from_millis(50)).await;
+    let count = || {
+        faulty
+            .iter()
+            .map(TestEndpoint::request_count)
+            .sum::<usize>()
+    };
+    let before = count();
+    let response = call(entry, DRAFT).await;
+    assert!(
+        !response.starts_with("HTTP/1.1 503") || count() == before,
+        "{response}"
+    );
+    assert!(
+        count() - before <= 2,
+        "more endpoints than the route allows"
+    );
+}
+
+/// A request that may not be repeated is never sent on a kept connection, where an earlier refusal could come.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_on_new_connection() {
+    let endpoint = TestEndpoint::start(Arc::new(|r: &str| {
+        let refusal = Action::Write(REFUSAL.to_owned());
+        // The refusal of an order comes once more while the next request is awaited.
+        match header(r, "id") {
+            Some("r1") => vec![
+                refusal.clone(),
+                Action::Wait(Duration::from_millis(100)),
+                refusal,
+            ],
+            _ => vec![ok_response(r, "done")],
+        }
+    }))
+    .await;
+    let entry = start_entry("orders", &[&endpoint]).await;
+    let response = call(entry, ORDER).await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let next = ORDER.replace("id: r1", "id: r2");
+    let response = call(entry, &next).await;
+    assert!(response.ends_with("done"), "{response}");
+    assert_eq!(endpoint.request_count(), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn mismatched_response_discarded() {
     let foreign = |_: &str| {
@@ -572,6 +659,45 @@
     );
 }
 
+/// Guards against the error of an endpoint that was to resume a stream and appears in its middle, or ends it as
+/// if it were complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_resumption_incomplete() {
+    let errors = [
+        "HTTP/1.1 500 Error\r\nid: r1\r\nsigned: yes\r\ncontent-length: 4\r\n\r\nboom",
+        "HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 4\r\n\r\nboom",
+        "HTTP/1.1 404 boom\r\nid: r1\r\nsigned: yes\r\ntransfer-encoding: chunked\r\n\r\n4\r\nboom\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: 4\r\n\r\nboom",
+        "HTTP/1.1 200 OK\r\nid: r0\r\nsigned: yes\r\ncontent-length: 15\r\n\r\nid: 2\ndata: boom\n\n",
+        "boom\r\n\r\n",
+    ];
+    for error in errors {
+        let script = move |r: &str| match header(r, "last") {
+            None => vec![
+                stream_head(r),
+                event(1),
+                Action::Wait(Duration::from_millis(50)),
+                Action::Close,
+            ],
+            Some(_) => vec![Action::Write(error.to_owned()), Action::Close],
+        };
+        let endpoints = [
+            TestEndpoint::start(Arc::new(script)).await,
+            TestEndpoint::start(Arc::new(script)).await,
+        ];
+        let entry = start_entry("drafts", &[&endpoints[0], &endpoints[1]]).await;
+        let response = call(entry, DRAFT).await;
+        assert_eq!(event_ids(&response), ["1"], "{error}: {response}");
+        assert!(
+            !response.contains("boom") && response.matches("HTTP/1.1").count() == 1,
+            "{error}: {response}"
+        );
+        assert!(!response.ends_with("0\r\n\r\n"), "{error}: {response}");
+        let count: usize = endpoints.iter().map(TestEndpoint::request_count).sum();
+        assert_eq!(count, 2, "{error}: the stream was to be resumed");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn disconnect_cancels_request() {
     let script = |r: &str| {
