--- a/crates/direct/tests/suite/fleet_retries.rs
+++ b/crates/direct/tests/suite/fleet_retries.rs
@@ -59,12 +59,13 @@
 }
 
 impl Record {
-    /// Runs `entries` entries.
+    /// Runs `entries` entries, which start together for the first time.
     fn of(course: &Course, entries: usize, allowance: f64, contact: Contact) -> Self {
         let start = Instant::now();
         let service = id::Service::from("drafts");
         let new = |now| Budget::new(RATIO, allowance, WINDOW, now);
-        let mut budgets: Vec<_> = (0..entries).map(|_| (new(start), 0.0)).collect();
+        let first = new(start).first_start();
+        let mut budgets = vec![(first, 0.0); entries];
         let mut fractions: Vec<_> = (0..entries).map(|i| i as f64 / entries as f64).collect();
         let restarts: Vec<_> = (0..entries).map(|i| (course.restarts)(i)).collect();
         let mut in_flight: Vec<(usize, f64)> = Vec::new();
