Measure the drain case from the time at which SIGTERM was sent

Cause: the time was taken before the signal, which favoured the case by some milliseconds.

Output that nobody reads no longer ends a case.

--- a/review/stand_ins/drain.rs
+++ b/review/stand_ins/drain.rs
@@ -45,9 +45,12 @@
         }
         clients.push(client);
     }
-    let stopped_at = Instant::now();
     if has_trouble {
         fleet.entries[0].signal("TERM");
+    }
+    // The signal was sent by now.
+    let stopped_at = Instant::now();
+    if has_trouble {
         record.add_at(stopped_at, "SIGTERM to front-1");
     }
     let (sender, receiver) = mpsc::channel::<(u32, Reply)>();
--- a/review/stand_ins/fleet.rs
+++ b/review/stand_ins/fleet.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashMap,
     env, fs,
-    io::{BufRead, BufReader, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -51,7 +51,8 @@
     /// Adds a line that is also printed.
     pub fn report(&self, line: impl Into<String>) {
         let line = line.into();
-        println!("{line}");
+        // The record is what counts, also if nobody reads the output.
+        let _ = writeln!(io::stdout(), "{line}");
         self.add(line);
     }
 
