Show that an entry learns of a drain too late once its peers are gone

Cause: an entry that does not watch the store takes over 2.5 s to 3.0 s after the last sign of the watchers, but a drain must be in force within 2 s.

--- a/review/stand_ins/fleet.rs
+++ b/review/stand_ins/fleet.rs
@@ -8,7 +8,10 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -143,6 +146,7 @@
     address: SocketAddr,
     process: Option<Process>,
     pub id: String,
+    registration: String,
     starts: u32,
     /// Whether the server starts again under the id that it had.
     pub keeps_id: bool,
@@ -161,6 +165,8 @@
     pub crashes: &'static str,
     /// Requests per second at which a cold server crashes.
     pub cold_limit: usize,
+    /// Zones of the entries, in turn.
+    pub zones: Vec<&'static str>,
 }
 
 impl Drop for Fleet {
@@ -190,6 +196,7 @@
             folder,
             crashes,
             cold_limit: usize::MAX,
+            zones: vec!["zone-a", "zone-b", "zone-c"],
         }
     }
 
@@ -208,7 +215,7 @@
         let name = format!("front-{}", index + 1);
         let seeds = self.hosts.iter().take(3);
         let seeds: Vec<_> = seeds.map(|host| format!("\"{host}:{}\"", ports.control)).collect();
-        let zone = ["zone-a", "zone-b", "zone-c"][index % 3];
+        let zone = self.zones[index % self.zones.len()];
         let template = fs::read_to_string("deploy/entry.json").expect("the template of the entry");
         let bootstrap = ("{{#bootstrap}}", "{{/bootstrap}}");
         let (before, rest) = template.split_once(bootstrap.0).expect("a section for bootstrap");
@@ -264,6 +271,7 @@
             address,
             process: None,
             id: String::new(),
+            registration: String::new(),
             starts: 0,
             keeps_id,
         });
@@ -319,6 +327,24 @@
         self.record.add(format!("{} starts and registers, cold for {} ms", server.id, cold.as_millis()));
         let key = format!("servers/{}", server.id);
         self.store.put(&key, &value);
+        server.registration = value;
+    }
+
+    /// Writes that a server is draining.
+    pub fn drain_server(&self, index: usize) {
+        let server = &self.servers[index];
+        let key = format!("servers/{}", server.id);
+        let value = server.registration.replace("\"ready\"", "\"draining\"");
+        self.record.add(format!("the store has accepted that {} is draining", server.id));
+        self.store.put(&key, &value);
+    }
+
+    /// Returns whether an entry's log says that it watches the store itself.
+    pub fn is_watching(&self, index: usize) -> bool {
+        let path = self.folder.join(format!("front-{}.log", index + 1));
+        let log = fs::read_to_string(path).unwrap_or_default();
+        let last = log.lines().rfind(|line| line.contains("\"watch of the store\""));
+        last.is_some_and(|line| line.contains("\"watches\":true"))
     }
 
     /// Returns whether the process of a server has ended; its registration then lapses in time.
@@ -399,6 +425,8 @@
 
 /// Writes the configuration: drafts to the service `models`, look-ups and orders to `ledger`.
 pub fn put_configuration(store: &Store, resumable: bool, cold_per_s: u32) {
+    static VERSION: AtomicU32 = AtomicU32::new(7);
+    let version = VERSION.fetch_add(3, Ordering::SeqCst);
     let route = |name: &str, prefix: &str, kind: &str, service: &str, timeout: u32, more: &str| {
         format!(
             r#"{{"name":"{name}","host":"review.example","prefix":"{prefix}","kind":"{kind}","timeout_ms":{timeout},"target_latency_ms":400,"priority":1,"service":"{service}","max_attempts":2,"public":false{more}}}"#
@@ -419,7 +447,7 @@
         )
     };
     let value = format!(
-        r#"{{"version":7,"routes":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"team-one","api_keys":["key-of-team-one"]}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"team-one","api_keys":["key-of-team-one"]}}]}}"#,
         routes.join(","),
         service("models"),
         service("ledger")
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -11,6 +11,7 @@
 mod poison;
 mod refusal;
 mod server;
+mod stale;
 mod store;
 
 use std::{env, path::Path, process::ExitCode};
@@ -38,6 +39,7 @@
     let record = Record::new(folder);
     let verdict = match case {
         "cold" => cold::play(has_trouble, &record),
+        "stale" => stale::play(has_trouble, &record),
         "forget" => forget::play(has_trouble, &record),
         "refusal" => refusal::play(has_trouble, &record),
         "drain" => drain::play(has_trouble, &record),
