--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -16,6 +16,7 @@
 use std::{env, path::Path, process::ExitCode};
 
 use fleet::Record;
+use poison::Crash;
 
 /// Whether a case could run, and then whether the rule was broken.
 pub type Verdict = Result<bool, String>;
@@ -40,8 +41,9 @@
         "forget" => forget::play(has_trouble, &record),
         "refusal" => refusal::play(has_trouble, &record),
         "drain" => drain::play(has_trouble, &record),
-        "poison" => poison::play(has_trouble, "amid", &record),
-        "poison-before" => poison::play(has_trouble, "before", &record),
+        "poison" => poison::play(has_trouble, Crash::AmidStream, &record),
+        "poison-plain" => poison::play(has_trouble, Crash::AmidPlainAnswer, &record),
+        "poison-before" => poison::play(has_trouble, Crash::BeforeAnswer, &record),
         _ => Err(format!("unknown case {case}")),
     };
     let code = match verdict {
--- a/review/stand_ins/poison.rs
+++ b/review/stand_ins/poison.rs
@@ -24,17 +24,34 @@
 const ALLOWED: usize = 3;
 const DEADLINE: Duration = Duration::from_secs(8);
 /// The same path, caller and body each time.
-const POISON_PATH: &str = "/draft/28x20/poison";
+const DRAFT: &str = "/draft/28x20/poison";
+const LOOKUP: &str = "/work/20/poison";
 const POISON_BODY: &str = r#"{"prompt":"crashes engines"}"#;
 /// Callers of other drafts, which each send one after the other.
 const CALLERS: usize = 12;
 
-pub fn play(has_trouble: bool, crashes: &'static str, record: &Record) -> Verdict {
+/// How the request crashes servers.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub enum Crash {
+    AmidStream,
+    AmidPlainAnswer,
+    BeforeAnswer,
+}
+
+pub fn play(has_trouble: bool, crash: Crash, record: &Record) -> Verdict {
+    let crashes = match crash {
+        Crash::AmidStream | Crash::AmidPlainAnswer => "amid",
+        Crash::BeforeAnswer => "before",
+    };
+    let poison_path = if crash == Crash::AmidPlainAnswer { LOOKUP } else { DRAFT };
     let mut fleet = Fleet::new(3, if has_trouble { crashes } else { "never" }, record.clone());
     fleet::put_configuration(&fleet.store, true, 0);
     for zone in ["zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c"] {
         fleet.add_server("models", zone, false);
     }
+    if crash == Crash::AmidPlainAnswer {
+        ["zone-a", "zone-b", "zone-c"].iter().for_each(|zone| fleet.add_server("ledger", zone, false));
+    }
     for index in 0..3 {
         fleet.start_entry(index, true);
     }
@@ -81,7 +98,7 @@
             let address = addresses[number % addresses.len()];
             attempts.push(thread::spawn(move || {
                 let id = format!("poison-{number}");
-                let text = fleet::request("POST", POISON_PATH, &id, DEADLINE, POISON_BODY);
+                let text = fleet::request("POST", poison_path, &id, DEADLINE, POISON_BODY);
                 record.add(format!("{id}: sent"));
                 let reply = Client::connect(address).map(|mut client| client.send(&text, DEADLINE));
                 let is_success = reply.as_ref().is_ok_and(|reply| reply.is_success());
@@ -115,7 +132,7 @@
     let events = fleet.events();
     let mut crashes: Vec<Instant> = events.iter().filter(|e| e.what == "crashed").map(|e| e.at).collect();
     crashes.sort();
-    let poison = events.iter().filter(|e| e.what == "arrived" && e.path == POISON_PATH);
+    let poison = events.iter().filter(|e| e.what == "arrived" && e.path == poison_path);
     let arrivals: Vec<Instant> = poison.map(|e| e.at).collect();
     let late = crashes.get(2).map_or(0, |third| arrivals.iter().filter(|at| **at > *third + CONTACT).count());
     record.report(format!(
