Refuse requests that crash endpoints amid their answers

Cause: a break counted only before the second batch of events. What came before it was taken as the sign that the endpoint is sound with this request, and cleared its prompt parts too. A break amid a plain answer and one of a resumed stream's first send were never counted. The logs show "broke amid its stream" for each attempt and "connection broke before an answer" for none. Ruled out: late news between entries (each entry alone passed the request on again) and expiry (the first attempts lie 3 s apart).

Beside it nothing cleared a request: look-ups of many callers were refused once two servers had ended under them (0 of 1,305 served after the last end), and drafts would have followed if more breaks had counted.

Change: `Blame` tracks requests as well as prompt parts. Any lost connection counts until the answer is whole, with an id of the crash that all entries derive alike; only a whole answer by one endpoint clears. What is refused is told in every message with its age, for ten minutes, so that entries that start later know it. A crash amid an answer cannot happen on a request that was answered whole, which is what makes the evidence sufficient.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -28,8 +28,8 @@
     spill::Spill,
 };
 use crate::{
-    Blame, Bounds, Budget, Departures, Health, Limits, Loads, Part, Pauses, Stalls, Suspects,
-    budget, cold, departures::Incarnation, suspects::Fingerprint, terms::Terms,
+    Blame, Bounds, Budget, Departures, Fingerprint, Health, Limits, Loads, Part, Pauses, Stalls,
+    budget, cold, departures::Incarnation, terms::Terms,
 };
 
 /// Number of engines of a group that must run requests without progress for the group to count as
@@ -168,8 +168,10 @@
     outranked: Option<Outranked>,
     cold: cold::Limiter,
     budget: Budget,
-    suspects: Suspects,
-    blame: Blame,
+    /// Requests under which endpoints crash.
+    suspects: Blame<Fingerprint>,
+    /// Parts of prompts under which endpoints crash.
+    blame: Blame<Part>,
     stalls: Stalls,
     groups: group::Directory,
     passes: Passes,
@@ -211,7 +213,7 @@
             outranked: None,
             cold: cold::Limiter::new(seed),
             budget,
-            suspects: Suspects::default(),
+            suspects: Blame::default(),
             blame: Blame::default(),
             stalls: Stalls::default(),
             groups: group::Directory::default(),
@@ -241,8 +243,12 @@
         if !attempt.is_retry {
             self.budget.record_request(attempt.service, now);
         }
-        if !self.suspects.allows(attempt.fingerprint, now) {
-            return Err(ErrorKind::Suspect.into());
+        if self
+            .suspects
+            .find_refused(&[attempt.fingerprint], now)
+            .is_some()
+        {
+            return Err(Fault::new(ErrorKind::Suspect).detail("endpoints crash under this request"));
         }
         if let Some(part) = self.blame.find_refused(attempt.shared_parts, now) {
             let detail = format!("endpoints crash under prompt part {part}");
--- a/crates/direct/src/balancer/exchange.rs
+++ b/crates/direct/src/balancer/exchange.rs
@@ -7,11 +7,7 @@
 
 use super::{Balancer, CONTACT_TIME, DISCOVERY_TIME, ENTRY_MEMORY};
 use crate::{
-    Limits, Load, News,
-    departures::Incarnation,
-    limits,
-    suspects::{CrashId, Fingerprint},
-    window::STARTUP_ENTRIES,
+    Fingerprint, Limits, Load, News, Part, departures::Incarnation, limits, window::STARTUP_ENTRIES,
 };
 
 /// # Groups
@@ -148,29 +144,24 @@
 
     /// Returns what other entries need to know of prompt parts under which endpoints crash.
     #[must_use]
-    pub fn part_news(&self, now: Instant) -> News {
+    pub fn part_news(&self, now: Instant) -> News<Part> {
         self.blame.news(now)
     }
 
     /// Applies what another entry tells of prompt parts under which endpoints crash.
-    pub fn merge_part_news(&mut self, news: &News, now: Instant) {
+    pub fn merge_part_news(&mut self, news: &News<Part>, now: Instant) {
         self.blame.merge(news, now);
     }
 
-    /// Records a crash that another entry reported.
-    pub fn record_reported_crash(
-        &mut self,
-        fingerprint: Fingerprint,
-        crash: CrashId,
-        now: Instant,
-    ) {
-        self.suspects.record_crash(fingerprint, crash, now);
+    /// Returns what other entries need to know of requests under which endpoints crash.
+    #[must_use]
+    pub fn request_news(&self, now: Instant) -> News<Fingerprint> {
+        self.suspects.news(now)
     }
 
-    /// Lists the crashes that were recorded within the last `span`.
-    #[must_use]
-    pub fn recent_crashes(&self, span: Duration, now: Instant) -> Vec<(Fingerprint, CrashId)> {
-        self.suspects.recent(span, now)
+    /// Applies what another entry tells of requests under which endpoints crash.
+    pub fn merge_request_news(&mut self, news: &News<Fingerprint>, now: Instant) {
+        self.suspects.merge(news, now);
     }
 
     /// Replaces the load report of another entry.
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -4,11 +4,10 @@
 
 use conf::id;
 use fleet::{Registration, View};
-use rand::RngExt as _;
 use tokio::time::Instant;
 
 use super::{Balancer, Outcome, Placement};
-use crate::{Part, Verdict, limits, metadata::Limit, suspects::Fingerprint};
+use crate::{Fingerprint, Part, Verdict, limits, metadata::Limit};
 
 /// # Outcomes of attempts
 impl Balancer {
@@ -96,8 +95,8 @@
             .record_answer(endpoint, *incarnation, limit, *chosen_at, now)
     }
 
-    /// Records that a connection broke before an endpoint had written an answer; `is_repeat` if the request
-    /// had been sent on after another break.
+    /// Records that a connection broke before the answer was whole; `is_repeat` if the request had been sent on
+    /// after another break.
     pub fn record_break(
         &mut self,
         placement: &Placement,
@@ -106,27 +105,33 @@
         is_repeat: bool,
         now: Instant,
     ) {
-        let crash = self.random.random();
-        self.suspects.record_crash(fingerprint, crash, now);
         let Placement {
             endpoint,
             incarnation,
             ..
         } = placement;
+        self.suspects
+            .record_break(endpoint, *incarnation, &[fingerprint], is_repeat, now);
         self.blame
             .record_break(endpoint, *incarnation, shared_parts, is_repeat, now);
     }
 
-    /// Records that an endpoint writes an answer to a request with these parts in its prompt.
-    pub fn record_sound(&mut self, shared_parts: &[Part], now: Instant) {
+    /// Records that an endpoint has written the whole answer to a request with these parts in its prompt.
+    pub fn record_sound(&mut self, fingerprint: Fingerprint, shared_parts: &[Part], now: Instant) {
+        self.suspects.record_sound(&[fingerprint], now);
         self.blame.record_sound(shared_parts, now);
     }
 
     /// Returns the prompt parts that are refused, or no longer, since the last call.
-    pub fn take_verdicts(&mut self) -> Vec<Verdict> {
+    pub fn take_part_verdicts(&mut self) -> Vec<Verdict<Part>> {
         self.blame.take_verdicts()
     }
 
+    /// Returns the requests that are refused, or no longer, since the last call.
+    pub fn take_request_verdicts(&mut self) -> Vec<Verdict<Fingerprint>> {
+        self.suspects.take_verdicts()
+    }
+
     /// Records that an endpoint's group is stalled by the loss of the rank `at_fault`, an endpoint id or
     /// address.
     pub fn record_stall(
@@ -170,6 +175,7 @@
             }
         }
         self.blame.expire(now);
+        self.suspects.expire(now);
         self.loads.retain(known);
         self.health.retain(known);
         self.cold.retain(is_cold);
--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -1,187 +1,154 @@
-use std::{collections::HashMap, time::Duration};
+//! Finds what crashes endpoints: requests, and parts of their prompts.
+
+mod news;
+mod record;
+mod subject;
+
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use conf::id;
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
-use smol_str::SmolStr;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::{departures::Incarnation, suspects::CrashId};
+use self::record::{Known, Record};
+pub use self::{
+    news::{Crash, CrashId, News, Refusal, Verdict},
+    subject::{Fingerprint, Part, Subject},
+};
+use crate::departures::Incarnation;
 
-/// Number of crashes after which a part is refused.
-const MAX_CRASHES: usize = 3;
-/// Least time between two crashes that both count: endpoints that end together have another cause, unless the
-/// request that ran on one of them went there from the other.
-const CRASH_SPACING: Duration = Duration::from_millis(200);
-/// Time for which a crash counts against a part.
+/// Time for which a crash counts against a subject.
 const CRASH_TTL: Duration = Duration::from_secs(60);
-/// Time for which a part is refused.
+/// Time for which a subject is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(600);
-/// Time for which a part is not blamed after an endpoint has written an answer to it.
-const SOUND_TIME: Duration = Duration::from_secs(10);
 /// Time between the break of a connection and the sign that its endpoint has ended: the store drops the
 /// registration of a silent endpoint after three of its heartbeats.
 const SIGN_TIME: Duration = Duration::from_secs(5);
 /// Age up to which crashes and rebuttals are told to other entries.
 const REPORT_SPAN: Duration = Duration::from_secs(2);
-/// Maximum number of blamed parts, and of breaks that are remembered.
+/// Maximum number of blamed subjects, and of breaks that are remembered.
 const MAX_RECORDS: usize = 512;
-/// Maximum number of parts that count as sound.
-const MAX_SOUND: usize = 4096;
+/// Maximum number of subjects whose answers are remembered.
+const MAX_ANSWERED: usize = 4096;
 /// Maximum number of entries in each list of [`News`], so that they fit into one packet.
 const MAX_NEWS: usize = 16;
 
-/// Id of a part of a prompt, which other requests may share.
-pub type Part = SmolStr;
-
-/// Crash of an endpoint that ran a request with a part.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Crash {
-    /// Part of the request's prompt.
-    pub part: Part,
-    /// Id of the crash, the same at all entries.
-    pub crash: CrashId,
-    /// Time since the crash.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
-    /// Whether the request had been sent on after another crash.
-    pub is_repeat: bool,
-}
-
-/// Part that is refused.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Refusal {
-    /// Part that is refused.
-    pub part: Part,
-    /// Time since it has been.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
-}
-
-/// What an entry tells others of blamed parts.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct News {
-    /// Recent crashes.
-    pub crashes: Vec<Crash>,
-    /// Parts that are refused.
-    pub refused: Vec<Refusal>,
-    /// Blamed parts that turned out to be sound.
-    pub sound: Vec<Part>,
-}
-
-/// Change of what is refused, for the log.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// Requests with the part are refused from now on.
-    Refused(Part),
-    /// Requests with the part are no longer refused.
-    Sound(Part),
-}
-
-/// Finds the parts of prompts under which endpoints crash, whatever else a request holds.
+/// Finds the subjects under which endpoints crash: requests, and parts of their prompts, whatever else a request
+/// holds.
 ///
-/// A part is blamed if a connection broke before an endpoint had written an answer to a request with it, and
-/// the endpoint turns out to have ended. Each crash counts once, however many requests and entries it
-/// concerned. A part to which any endpoint writes an answer is sound: that tells parts that many requests
-/// share from the one among them that crashes endpoints.
-#[derive(Clone, Debug, Default)]
-pub struct Blame {
-    records: HashMap<Part, Record>,
-    /// Connections that broke before an answer, until there is a sign that the endpoint has ended.
-    breaks: Vec<Break>,
+/// A subject is blamed if a connection broke before the answer to a request with it was whole, and, where
+/// [`Subject::NEEDS_SIGN`], the endpoint turns out to have ended. Each crash counts once, however many requests and
+/// entries it concerned. Whatever crashes each endpoint is never answered, so a whole answer proves a subject sound:
+/// that tells what merely ran at an endpoint that ended from what ended it.
+#[derive(Clone, Debug)]
+pub struct Blame<K> {
+    records: HashMap<K, Record>,
+    /// Connections that broke, until there is a sign that the endpoint has ended.
+    breaks: Vec<Break<K>>,
     /// Endpoints that ended.
     ended: HashMap<(id::Endpoint, Incarnation), Instant>,
-    /// Parts to which answers were written, with the time of the latest.
-    sound: HashMap<Part, Instant>,
-    /// Blamed parts that are known to be sound, for other entries.
-    rebuttals: Vec<(Part, Instant)>,
-    verdicts: Vec<Verdict>,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Record {
-    crashes: Vec<Known>,
-    refused_at: Option<Instant>,
-}
-
-/// Known crash, with the time at which this entry learned of it.
-#[derive(Clone, Copy, Debug)]
-struct Known {
-    crash: CrashId,
-    at: Instant,
-    heard_at: Instant,
-    is_repeat: bool,
+    /// Subjects that were answered, with the time of the latest answer.
+    answered: HashMap<K, Instant>,
+    /// Blamed subjects that are known to be sound, for other entries.
+    rebuttals: Vec<(K, Instant)>,
+    verdicts: Vec<Verdict<K>>,
 }
 
 #[derive(Clone, Debug)]
-struct Break {
+struct Break<K> {
     endpoint: id::Endpoint,
     incarnation: Incarnation,
-    parts: Vec<Part>,
+    subjects: Vec<K>,
     at: Instant,
     is_repeat: bool,
 }
 
+impl<K> Default for Blame<K> {
+    fn default() -> Self {
+        Self {
+            records: HashMap::new(),
+            breaks: Vec::new(),
+            ended: HashMap::new(),
+            answered: HashMap::new(),
+            rebuttals: Vec::new(),
+            verdicts: Vec::new(),
+        }
+    }
+}
+
 /// # Decisions
-impl Blame {
-    /// Returns the first of a request's parts that is refused.
+impl<K: Subject> Blame<K> {
+    /// Returns the first of a request's subjects that is refused.
     #[must_use]
-    pub fn find_refused<'a>(&self, parts: &'a [Part], now: Instant) -> Option<&'a Part> {
-        parts.iter().find(|part| {
-            let refused_at = self.records.get(*part).and_then(|r| r.refused_at);
+    pub fn find_refused<'a>(&self, subjects: &'a [K], now: Instant) -> Option<&'a K> {
+        subjects.iter().find(|subject| {
+            let refused_at = self.records.get(*subject).and_then(|r| r.refused_at);
             refused_at.is_some_and(|at| now.duration_since(at) < REFUSAL_TIME)
         })
     }
 
     /// Returns the changes of what is refused since the last call.
-    pub fn take_verdicts(&mut self) -> Vec<Verdict> {
+    pub fn take_verdicts(&mut self) -> Vec<Verdict<K>> {
         std::mem::take(&mut self.verdicts)
     }
+
+    /// Returns the number of crashes after which a subject is refused.
+    fn max_crashes(&self, subject: &K, now: Instant) -> usize {
+        let last = self.answered.get(subject);
+        if last.is_some_and(|last| now.duration_since(*last) < K::ANSWER_MEMORY) {
+            K::MAX_CRASHES_IF_ANSWERED
+        } else {
+            K::MAX_CRASHES
+        }
+    }
+
+    /// Returns whether a subject was answered after a time, or shortly before.
+    fn is_sound(&self, subject: &K, at: Instant) -> bool {
+        let last = self.answered.get(subject);
+        last.is_some_and(|last| *last + K::SOUND_TIME > at)
+    }
 }
 
 /// # Events
-impl Blame {
-    /// Records that an endpoint writes an answer to a request with these parts.
-    pub fn record_sound(&mut self, parts: &[Part], now: Instant) {
-        for part in parts {
-            if self.sound.len() < MAX_SOUND || self.sound.contains_key(part) {
-                self.sound.insert(part.clone(), now);
+impl<K: Subject> Blame<K> {
+    /// Records that an endpoint has written the whole answer to a request with these subjects.
+    pub fn record_sound(&mut self, subjects: &[K], now: Instant) {
+        for subject in subjects {
+            if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(subject) {
+                self.answered.insert(subject.clone(), now);
             }
-            if self.clear(part) {
-                self.rebut(part, now);
+            if self.clear(subject) {
+                self.rebut(subject, now);
             }
         }
     }
 
-    /// Records that the connection to an endpoint broke before it had written an answer to a request with
-    /// these parts; `is_repeat` if the request had been sent on after another break.
+    /// Records that the connection to an endpoint broke before the answer to a request with these subjects was
+    /// whole; `is_repeat` if the request had been sent on after another break.
     pub fn record_break(
         &mut self,
         endpoint: &id::Endpoint,
         incarnation: Incarnation,
-        parts: &[Part],
+        subjects: &[K],
         is_repeat: bool,
         now: Instant,
     ) {
-        if parts.is_empty() {
+        if subjects.is_empty() {
             return;
         }
-        if self.ended.contains_key(&(endpoint.clone(), incarnation)) {
+        if !K::NEEDS_SIGN || self.ended.contains_key(&(endpoint.clone(), incarnation)) {
             let known = Known {
                 crash: crash_id(endpoint, incarnation),
                 at: now,
                 heard_at: now,
                 is_repeat,
             };
-            self.blame(parts, known);
+            self.blame(subjects, known);
         } else if self.breaks.len() < MAX_RECORDS {
             self.breaks.push(Break {
                 endpoint: endpoint.clone(),
                 incarnation,
-                parts: parts.to_vec(),
+                subjects: subjects.to_vec(),
                 at: now,
                 is_repeat,
             });
@@ -192,7 +159,7 @@
     /// others name it as lost.
     pub fn record_end(&mut self, endpoint: &id::Endpoint, incarnation: Incarnation, now: Instant) {
         self.ended.insert((endpoint.clone(), incarnation), now);
-        let is_of = |b: &Break| b.endpoint == *endpoint && b.incarnation == incarnation;
+        let is_of = |b: &Break<K>| b.endpoint == *endpoint && b.incarnation == incarnation;
         let (found, others) = std::mem::take(&mut self.breaks)
             .into_iter()
             .partition(is_of);
@@ -204,7 +171,7 @@
                 heard_at: now,
                 is_repeat: found.is_repeat,
             };
-            self.blame(&found.parts, known);
+            self.blame(&found.subjects, known);
         }
     }
 
@@ -222,7 +189,8 @@
         let is_recent = |at: Instant, span| now.duration_since(at) < span;
         self.breaks.retain(|b| is_recent(b.at, SIGN_TIME));
         self.ended.retain(|_, at| is_recent(*at, SIGN_TIME));
-        self.sound.retain(|_, at| is_recent(*at, SOUND_TIME));
+        self.answered
+            .retain(|_, at| is_recent(*at, K::ANSWER_MEMORY));
         self.rebuttals.retain(|(_, at)| is_recent(*at, REPORT_SPAN));
         self.records.retain(|_, record| match record.refused_at {
             Some(at) => is_recent(at, REFUSAL_TIME),
@@ -233,92 +201,108 @@
         });
     }
 
-    /// Counts a crash against parts that are not known to be sound.
-    fn blame(&mut self, parts: &[Part], crash: Known) {
-        for part in parts {
-            if self.is_sound(part, crash.at) {
+    /// Counts a crash against subjects that are not known to be sound.
+    fn blame(&mut self, subjects: &[K], crash: Known) {
+        for subject in subjects {
+            if self.is_sound(subject, crash.at) {
                 continue;
             }
-            if self.records.len() >= MAX_RECORDS && !self.records.contains_key(part) {
+            let max_crashes = self.max_crashes(subject, crash.heard_at);
+            let Some(record) = self.record(subject) else {
                 return;
-            }
-            let record = self.records.entry(part.clone()).or_default();
-            if record
-                .crashes
-                .iter()
-                .any(|known| known.crash == crash.crash)
-            {
+            };
+            if !record.add(crash) {
                 continue;
             }
-            record.crashes.push(crash);
-            if record.refused_at.is_none() && record.count(crash.heard_at) >= MAX_CRASHES {
-                record.refused_at = Some(crash.heard_at);
-                self.verdicts.push(Verdict::Refused(part.clone()));
+            let count = record.count(crash.heard_at);
+            if record.refused_at.is_none() && count >= max_crashes {
+                record.refuse(crash.heard_at, count);
+                self.verdicts.push(Verdict::Refused(subject.clone()));
             }
         }
     }
 
-    /// Returns whether an answer was written to a part after a time, or shortly before.
-    fn is_sound(&self, part: &Part, at: Instant) -> bool {
-        let last = self.sound.get(part);
-        last.is_some_and(|last| *last + SOUND_TIME > at)
+    /// Returns the record of a subject, or `None` if there are too many.
+    fn record(&mut self, subject: &K) -> Option<&mut Record> {
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(subject) {
+            return None;
+        }
+        Some(self.records.entry(subject.clone()).or_default())
     }
 
-    /// Drops the blame of a part; returns whether there was any.
-    fn clear(&mut self, part: &Part) -> bool {
-        let Some(record) = self.records.remove(part) else {
+    /// Drops the blame of a subject; returns whether there was any.
+    fn clear(&mut self, subject: &K) -> bool {
+        let Some(record) = self.records.remove(subject) else {
             return false;
         };
         if record.refused_at.is_some() {
-            self.verdicts.push(Verdict::Sound(part.clone()));
+            self.verdicts.push(Verdict::Sound(subject.clone()));
         }
         true
     }
 
-    fn rebut(&mut self, part: &Part, now: Instant) {
-        self.rebuttals.retain(|(known, _)| known != part);
-        self.rebuttals.push((part.clone(), now));
+    fn rebut(&mut self, subject: &K, now: Instant) {
+        self.rebuttals.retain(|(known, _)| known != subject);
+        self.rebuttals.push((subject.clone(), now));
     }
 }
 
 /// # Other entries
-impl Blame {
-    /// Returns what other entries need to know.
+impl<K: Subject> Blame<K> {
+    /// Returns what other entries need to know: what is close to being refused first, then the newest.
     #[must_use]
-    pub fn news(&self, now: Instant) -> News {
+    pub fn news(&self, now: Instant) -> News<K> {
         let is_recent = |at: Instant| now.duration_since(at) < REPORT_SPAN;
-        let crashes = self.records.iter().flat_map(|(part, record)| {
+        let mut crashes: Vec<(&K, &Known, usize)> = Vec::new();
+        for (subject, record) in &self.records {
             let recent = record.crashes.iter().filter(|c| is_recent(c.heard_at));
-            recent.map(|c| Crash {
-                part: part.clone(),
-                crash: c.crash,
-                age: now.duration_since(c.at),
-                is_repeat: c.is_repeat,
-            })
-        });
-        let refused = self.records.iter().filter_map(|(part, record)| {
-            let age = now.duration_since(record.refused_at?);
-            let part = part.clone();
-            (age < REFUSAL_TIME).then_some(Refusal { part, age })
+            crashes.extend(recent.map(|known| (subject, known, record.crashes.len())));
+        }
+        crashes.sort_by_key(|(_, known, count)| Reverse((*count, known.heard_at)));
+        let crashes = crashes.into_iter().map(|(subject, known, _)| Crash {
+            subject: subject.clone(),
+            crash: known.crash,
+            age: now.duration_since(known.at),
+            is_repeat: known.is_repeat,
         });
-        let sound = self.rebuttals.iter().filter(|(_, at)| is_recent(*at));
+        let mut refused: Vec<Refusal<K>> = self
+            .records
+            .iter()
+            .filter_map(|(subject, record)| {
+                let age = now.duration_since(record.refused_at?);
+                (age < REFUSAL_TIME).then(|| Refusal {
+                    subject: subject.clone(),
+                    age,
+                    crashes: record.refused_for,
+                })
+            })
+            .collect();
+        refused.sort_by_key(|refusal| refusal.age);
+        refused.truncate(MAX_NEWS);
+        let sound = self.rebuttals.iter().rev();
+        let sound = sound.filter(|(_, at)| is_recent(*at));
         News {
             crashes: crashes.take(MAX_NEWS).collect(),
-            refused: refused.take(MAX_NEWS).collect(),
-            sound: sound.map(|(part, _)| part.clone()).take(MAX_NEWS).collect(),
+            refused,
+            sound: sound
+                .map(|(subject, _)| subject.clone())
+                .take(MAX_NEWS)
+                .collect(),
         }
     }
 
-    /// Applies what another entry tells; the entry's own experience that a part is sound goes first.
-    pub fn merge(&mut self, news: &News, now: Instant) {
-        for part in &news.sound {
-            self.sound.insert(part.clone(), now);
-            self.clear(part);
+    /// Applies what another entry tells; the entry's own experience that a subject is sound goes first.
+    pub fn merge(&mut self, news: &News<K>, now: Instant) {
+        for subject in &news.sound {
+            self.answered.insert(subject.clone(), now);
+            self.clear(subject);
         }
-        let blamed = news.crashes.iter().map(|crash| &crash.part);
-        for part in blamed.chain(news.refused.iter().map(|refusal| &refusal.part)) {
-            if self.is_sound(part, now) && !news.sound.contains(part) {
-                self.rebut(part, now);
+        let blamed = news.crashes.iter().map(|crash| (&crash.subject, crash.age));
+        let refused = news.refused.iter().map(|r| (&r.subject, r.age));
+        for (subject, age) in blamed.chain(refused) {
+            let at = now.checked_sub(age).unwrap_or(now);
+            if self.is_sound(subject, at) && !news.sound.contains(subject) {
+                self.rebut(subject, now);
             }
         }
         for crash in &news.crashes {
@@ -328,43 +312,43 @@
                 heard_at: now,
                 is_repeat: crash.is_repeat,
             };
-            self.blame(std::slice::from_ref(&crash.part), known);
+            self.blame(std::slice::from_ref(&crash.subject), known);
         }
-        for Refusal { part, age } in &news.refused {
-            let is_known = self
-                .records
-                .get(part)
-                .is_some_and(|r| r.refused_at.is_some());
-            if is_known || *age >= REFUSAL_TIME || self.is_sound(part, now) {
-                continue;
-            }
-            let record = self.records.entry(part.clone()).or_default();
-            record.refused_at = Some(now.checked_sub(*age).unwrap_or(now));
-            self.verdicts.push(Verdict::Refused(part.clone()));
+        for refusal in &news.refused {
+            self.merge_refusal(refusal, now);
         }
     }
-}
 
-impl Record {
-    /// Returns the number of recent crashes that lie apart from each other or are repeats.
-    fn count(&self, now: Instant) -> usize {
-        let recent = self.crashes.iter();
-        let recent = recent.filter(|c| now.duration_since(c.at) < CRASH_TTL);
-        let (repeats, firsts): (Vec<&Known>, _) = recent.partition(|c| c.is_repeat);
-        let mut times: Vec<Instant> = firsts.iter().map(|c| c.at).collect();
-        times.sort();
-        let (mut count, mut last): (usize, Option<Instant>) = (repeats.len(), None);
-        for at in times {
-            if last.is_none_or(|last| at.duration_since(last) >= CRASH_SPACING) {
-                (count, last) = (count + 1, Some(at));
-            }
+    fn merge_refusal(&mut self, refusal: &Refusal<K>, now: Instant) {
+        let Refusal {
+            subject,
+            age,
+            crashes,
+        } = refusal;
+        let at = now.checked_sub(*age).unwrap_or(now);
+        let count = usize::try_from(*crashes).unwrap_or(usize::MAX);
+        if *age >= REFUSAL_TIME
+            || self.is_sound(subject, at)
+            || count < self.max_crashes(subject, now)
+        {
+            return;
+        }
+        let Some(record) = self.record(subject) else {
+            return;
+        };
+        if record.refused_at.is_none() {
+            record.refuse(at, count);
+            self.verdicts.push(Verdict::Refused(subject.clone()));
         }
-        count
     }
 }
 
 /// Returns the id of an endpoint's crash, which all entries derive alike.
 fn crash_id(endpoint: &id::Endpoint, incarnation: Incarnation) -> CrashId {
+    // Hashed as data: as a seed, the incarnation could cancel out differences between short endpoint ids.
+    let mut hash = Xxh3::new();
+    hash.update(endpoint.as_bytes());
+    hash.update(&incarnation.to_le_bytes());
     // The upper half is as random as the whole.
-    (xxh3_64_with_seed(endpoint.as_bytes(), incarnation) >> 32) as CrashId
+    (hash.digest() >> 32) as CrashId
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -21,7 +21,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    Attempt, Balancer, Outcome, Placement, Protocol,
+    Attempt, Balancer, Fingerprint, Outcome, Placement, Protocol,
     balancer::Choice,
     body::{self, Body},
     dispatch::{Dispatch, log_outcome, log_retry, log_spill},
@@ -32,7 +32,6 @@
     response::{build_error_response, build_response},
     resumption::Resumption,
     stream::Upstream,
-    suspects::Fingerprint,
 };
 
 /// Time by which the entry stops before the client's deadline, so that its response is in time.
@@ -511,6 +510,9 @@
             Ok(Ok(bytes)) => bytes,
             Ok(Err(e)) => {
                 self.log_outcome(&dispatch, "broke amid its answer", &e.to_string());
+                if matches!(e, payload::Error::Read(_)) {
+                    self.record_break(&dispatch);
+                }
                 dispatch.end(Outcome::Broke);
                 return Disposition::Unknown(SmolStr::new_static("the answer was cut"));
             }
@@ -527,9 +529,7 @@
             .put(connection, pool::keep_alive(&head.headers));
         let failed = head.status.is_server_error();
         if !failed {
-            let parts = &self.request.shared_parts;
-            self.context
-                .with_balancer(|balancer| balancer.record_sound(parts, Instant::now()));
+            dispatch.record_sound(&self.request, self.fingerprint);
         }
         self.log_outcome(
             &dispatch,
@@ -563,7 +563,8 @@
         // Until the first event is received, another endpoint can still send the whole stream.
         let first = match time::timeout_at(self.start_by, upstream.next_events()).await {
             Ok(Ok(first)) => first,
-            Ok(Err(reason)) => {
+            Ok(Err(e)) => {
+                let reason = e.to_string();
                 self.log_outcome(upstream.dispatch(), "broke before its first event", &reason);
                 self.record_break(upstream.dispatch());
                 upstream.abort(Outcome::Broke);
@@ -601,16 +602,9 @@
 
 /// # Helpers
 impl Call {
-    /// Records that a connection broke before the endpoint had written an answer.
+    /// Records that a connection broke before the answer was whole.
     fn record_break(&self, dispatch: &Dispatch) {
-        let is_repeat = self.possible_runs > 1;
-        record_break(
-            &self.context,
-            &self.request,
-            self.fingerprint,
-            is_repeat,
-            dispatch,
-        );
+        dispatch.record_break(&self.request, self.fingerprint, self.possible_runs > 1);
     }
 
     fn time_left(&self) -> Duration {
@@ -684,27 +678,6 @@
     }
 }
 
-/// Records and logs that a connection broke before an endpoint had written an answer to a request.
-pub(crate) fn record_break(
-    context: &Context,
-    request: &metadata::Request,
-    fingerprint: Fingerprint,
-    is_repeat: bool,
-    dispatch: &Dispatch,
-) {
-    let placement = &dispatch.placement;
-    log::info!(
-        request:% = request.id,
-        endpoint:% = placement.endpoint,
-        parts:% = request.shared_parts.join(",");
-        "connection broke before an answer"
-    );
-    context.with_balancer(|balancer| {
-        let parts = &request.shared_parts;
-        balancer.record_break(placement, fingerprint, parts, is_repeat, Instant::now());
-    });
-}
-
 fn configuration(context: &Context) -> Result<Arc<Configuration>, Fault> {
     let view = context.view.borrow();
     view.configuration
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Outcome, Placement, Spill,
+    Fingerprint, Outcome, Placement, Spill,
     call::{Context, millis},
     limits::Change,
     metadata,
@@ -186,6 +186,39 @@
         }
     }
 
+    /// Records and logs that the connection broke before the answer was whole; `is_repeat` if the request had been
+    /// sent on after another break.
+    pub(crate) fn record_break(
+        &self,
+        request: &metadata::Request,
+        fingerprint: Fingerprint,
+        is_repeat: bool,
+    ) {
+        log::info!(
+            request:% = request.id,
+            endpoint:% = self.placement.endpoint,
+            fingerprint:% = format!("{fingerprint:016x}"),
+            parts:% = request.shared_parts.join(","),
+            repeat = is_repeat;
+            "connection broke during a run"
+        );
+        let (parts, now) = (&request.shared_parts, Instant::now());
+        self.context.with_balancer(|balancer| {
+            balancer.record_break(&self.placement, fingerprint, parts, is_repeat, now);
+        });
+    }
+
+    /// Records that the endpoint has written the whole answer to a request.
+    pub(crate) fn record_sound(&self, request: &metadata::Request, fingerprint: Fingerprint) {
+        // The run of a stream that goes on after an event may leave out what crashes endpoints.
+        if request.last_event.is_some() {
+            return;
+        }
+        let (parts, now) = (&request.shared_parts, Instant::now());
+        self.context
+            .with_balancer(|balancer| balancer.record_sound(fingerprint, parts, now));
+    }
+
     /// Ends the request with an outcome.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.record_end(outcome);
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -17,13 +17,8 @@
 use wire::Watcher;
 
 use crate::{
-    Balancer, Incarnation, Load, News, Settings, Verdict,
-    call::Context,
-    dispatch::log_limit,
-    limits,
-    suspects::{CrashId, Fingerprint},
-    sync,
-    watching::Watching,
+    Balancer, Fingerprint, Incarnation, Load, News, Part, Settings, Verdict, call::Context,
+    dispatch::log_limit, limits, sync, watching::Watching,
 };
 
 /// Interval at which changes of the local load are checked for and sent.
@@ -39,8 +34,6 @@
 const MEMBER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Interval of messages to seeds from which no message has come in.
 const SEED_INTERVAL: Duration = Duration::from_millis(500);
-/// Age up to which crashes are included in messages.
-const CRASH_SPAN: Duration = Duration::from_secs(2);
 /// Age up to which missing endpoints are included in messages.
 const MISSING_SPAN: Duration = Duration::from_millis(600);
 /// Time that the store has to deliver changes that another entry already knows; after that they are
@@ -88,8 +81,8 @@
     zone: id::Zone,
     /// Entries that watch the store for the sender's zone.
     watchers: Vec<Watcher>,
-    /// Recent crashes with the fingerprint of the request that may have caused each.
-    crashes: Vec<(Fingerprint, CrashId)>,
+    /// Requests under which endpoints crash.
+    suspects: News<Fingerprint>,
     /// Endpoints that the sender found to be missing, although the store still lists them.
     missing: Vec<id::Endpoint>,
     /// Endpoints that stated that they are leaving, with the incarnation that is.
@@ -99,7 +92,7 @@
     members: Vec<SocketAddr>,
     /// Prompt parts under which endpoints crash.
     #[serde(default)]
-    parts: News,
+    parts: News<Part>,
     /// Limits that endpoints state.
     #[serde(default)]
     limits: Vec<limits::Statement>,
@@ -279,9 +272,9 @@
             zone: self.zone.clone(),
             watchers: Vec::new(),
             loads,
-            crashes: self
+            suspects: self
                 .context
-                .with_balancer(|balancer| balancer.recent_crashes(CRASH_SPAN, now)),
+                .with_balancer(|balancer| balancer.request_news(now)),
             missing,
             leaving: self
                 .context
@@ -428,9 +421,7 @@
             for endpoint in &message.missing {
                 balancer.record_reported_missing(endpoint, now);
             }
-            for (fingerprint, crash) in message.crashes {
-                balancer.record_reported_crash(fingerprint, crash, now);
-            }
+            balancer.merge_request_news(&message.suspects, now);
             balancer.merge_part_news(&message.parts, now);
             for (endpoint, incarnation) in message.leaving {
                 if balancer.record_reported_departure(&endpoint, incarnation, now) {
@@ -448,10 +439,31 @@
         seeds.extend(unknown.take(capacity).collect::<Vec<_>>());
     }
 
-    /// Logs which prompt parts are refused, or no longer, since the last call.
+    /// Logs which requests and prompt parts are refused, or no longer, since the last call.
     fn log_verdicts(&self) {
-        let verdicts = self.context.with_balancer(Balancer::take_verdicts);
-        for verdict in verdicts {
+        let requests = self.context.with_balancer(Balancer::take_request_verdicts);
+        for verdict in requests {
+            match verdict {
+                Verdict::Refused(fingerprint) => {
+                    self.context
+                        .metrics
+                        .suspects
+                        .with_label_values(&["refused"])
+                        .inc();
+                    log::warn!(fingerprint:% = format!("{fingerprint:016x}"); "request is refused: endpoints crash under it");
+                }
+                Verdict::Sound(fingerprint) => {
+                    self.context
+                        .metrics
+                        .suspects
+                        .with_label_values(&["sound"])
+                        .inc();
+                    log::info!(fingerprint:% = format!("{fingerprint:016x}"); "request is sound");
+                }
+            }
+        }
+        let parts = self.context.with_balancer(Balancer::take_part_verdicts);
+        for verdict in parts {
             match verdict {
                 Verdict::Refused(part) => {
                     log::warn!(part:% = part; "prompt part is refused: endpoints crash under it");
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) outranked: IntCounterVec,
     /// Retries by decision of the retry budget: granted or refused.
     pub(crate) retries: IntCounterVec,
+    /// Changes of which requests are refused because endpoints crash under them, by verdict.
+    pub(crate) suspects: IntCounterVec,
     /// Attempts at endpoints in other zones.
     pub(crate) other_zone_sends: IntCounter,
     /// Highest share of the requests that leaves the zone, over the services.
@@ -106,6 +108,11 @@
                 "Requests refused for more urgent ones by level.",
                 "level",
             )?,
+            suspects: counter(
+                "apricot_direct_suspects_total",
+                "Requests found to crash endpoints, or cleared of it, by verdict.",
+                "verdict",
+            )?,
             retries: counter(
                 "apricot_direct_retries_total",
                 "Retries by decision of the budget.",
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -7,14 +7,13 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    Attempt, Outcome, Placement,
+    Attempt, Fingerprint, Outcome, Placement,
     call::{Context, MAX_ATTEMPTS, MIN_RETRY_TIME, millis},
     dispatch::{Dispatch, log_outcome, log_retry},
     forward::build_request,
     metadata,
     pool::Error,
     stream::Upstream,
-    suspects::Fingerprint,
 };
 
 /// State of a client request that is needed to resume its event stream at another endpoint.
@@ -115,6 +114,7 @@
             Ok(Err(Error::NotSent(reason))) => (Outcome::Unreached, reason),
             Ok(Err(Error::MaybeRun(reason))) => {
                 self.possible_runs += 1;
+                dispatch.record_break(&self.request, self.fingerprint, true);
                 (Outcome::Broke, reason)
             }
             Ok(Ok(received)) => {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -1,4 +1,4 @@
-use std::{io, time::Duration};
+use std::{fmt, io, time::Duration};
 
 use bytes::Bytes;
 use futures::stream;
@@ -10,13 +10,31 @@
 use crate::{
     Outcome,
     body::Body,
-    call::{millis, record_break},
+    call::millis,
     dispatch::{Dispatch, log_outcome},
     events::Splitter,
     pool::{self, Connection, keep_alive},
     resumption::Resumption,
 };
 
+/// Reason why a stream broke.
+#[derive(Debug)]
+pub(crate) enum Error {
+    /// The connection ended before the stream was complete.
+    Lost(String),
+    /// The endpoint wrote something that is no event stream.
+    Invalid(&'static str),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost(reason) => f.write_str(reason),
+            Self::Invalid(reason) => f.write_str(reason),
+        }
+    }
+}
+
 /// Event stream from one endpoint.
 pub(crate) struct Upstream {
     dispatch: Dispatch,
@@ -77,15 +95,15 @@
     /// # Errors
     ///
     /// Returns the reason why the stream broke.
-    pub(crate) async fn next_events(&mut self) -> Result<Bytes, String> {
+    pub(crate) async fn next_events(&mut self) -> Result<Bytes, Error> {
         loop {
             match self.body.frame().await {
                 None if self.is_unframed && !self.has_event => {
-                    return Err("ended without an event".to_owned());
+                    return Err(Error::Lost("ended without an event".to_owned()));
                 }
                 None if self.splitter.is_empty() => return Ok(Bytes::new()),
-                None => return Err("ended amid an event".to_owned()),
-                Some(Err(e)) => return Err(pool::format_error(&e)),
+                None => return Err(Error::Lost("ended amid an event".to_owned())),
+                Some(Err(e)) => return Err(Error::Lost(pool::format_error(&e))),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
@@ -93,7 +111,9 @@
                     self.dispatch.record_progress();
                     self.splitter.push(&data);
                     if self.splitter.is_over_limit() {
-                        return Err("an event is longer or in more pieces than allowed".to_owned());
+                        return Err(Error::Invalid(
+                            "an event is longer or in more pieces than allowed",
+                        ));
                     }
                     let batch = self.splitter.take_events(self.last_id);
                     self.has_event |= batch.count > 0;
@@ -135,8 +155,8 @@
     resumption: Resumption,
     upstream: Option<Upstream>,
     first: Option<Bytes>,
-    /// Whether the current endpoint has written more than the first events.
-    is_sound: bool,
+    /// Whether the stream was resumed at another endpoint.
+    is_resumed: bool,
     ended: bool,
 }
 
@@ -147,7 +167,7 @@
             resumption: self,
             upstream: Some(upstream),
             first: Some(first),
-            is_sound: false,
+            is_resumed: false,
             ended: false,
         };
         let frames = stream::unfold(downstream, |mut downstream| async move {
@@ -173,65 +193,55 @@
         }
         loop {
             let upstream = self.upstream.as_mut()?;
-            let reason =
+            let error =
                 match time::timeout_at(self.resumption.deadline, upstream.next_events()).await {
                     Ok(Ok(bytes)) if bytes.is_empty() => {
                         self.finish();
                         return None;
                     }
-                    Ok(Ok(bytes)) => {
-                        self.record_sound();
-                        return Some(Ok(bytes));
-                    }
-                    Ok(Err(reason)) => reason,
+                    Ok(Ok(bytes)) => return Some(Ok(bytes)),
+                    Ok(Err(e)) => e,
                     Err(_) => return Some(Err(self.abort("deadline passed during the stream"))),
                 };
-            if !self.fail_over(&reason).await {
-                return Some(Err(self.abort(&reason)));
+            if !self.fail_over(&error).await {
+                return Some(Err(self.abort(&error.to_string())));
             }
         }
     }
 
     /// Resumes the stream at another endpoint; returns false if that fails.
-    async fn fail_over(&mut self, reason: &str) -> bool {
+    async fn fail_over(&mut self, error: &Error) -> bool {
         let Some(broken) = self.upstream.take() else {
             return false;
         };
         let last_id = broken.last_id;
-        self.log_outcome(&broken, "broke amid its stream", reason);
-        if !std::mem::take(&mut self.is_sound) {
+        self.log_outcome(&broken, "broke amid its stream", &error.to_string());
+        if matches!(error, Error::Lost(_)) {
             let resumption = &self.resumption;
-            record_break(
-                &resumption.context,
-                &resumption.request,
-                resumption.fingerprint,
-                resumption.possible_runs > 1,
-                &broken.dispatch,
-            );
+            let is_repeat = resumption.possible_runs > 1;
+            broken
+                .dispatch
+                .record_break(&resumption.request, resumption.fingerprint, is_repeat);
         }
         broken.abort(Outcome::Broke);
+        self.is_resumed = true;
         self.upstream = self.resumption.resume(last_id).await;
         self.upstream.is_some()
     }
 
-    /// Records that the endpoint goes on with its answer after the first events.
-    fn record_sound(&mut self) {
-        if !std::mem::replace(&mut self.is_sound, true) {
-            let Resumption {
-                context, request, ..
-            } = &self.resumption;
-            context.with_balancer(|balancer| {
-                balancer.record_sound(&request.shared_parts, Instant::now());
-            });
-        }
-    }
-
     fn finish(&mut self) {
         self.ended = true;
-        self.record_sound();
         let Some(upstream) = self.upstream.take() else {
             return;
         };
+        if !self.is_resumed {
+            let Resumption {
+                request,
+                fingerprint,
+                ..
+            } = &self.resumption;
+            upstream.dispatch.record_sound(request, *fingerprint);
+        }
         self.log_outcome(&upstream, "answered", "stream complete");
         upstream.finish();
         let age = self.resumption.arrived.elapsed().as_secs_f64();
--- a/crates/direct/tests/suite/prompt_parts.rs
+++ b/crates/direct/tests/suite/prompt_parts.rs
@@ -14,13 +14,13 @@
     ids.iter().map(Part::new).collect()
 }
 
-fn is_refused(blame: &Blame, part: &str) -> bool {
+fn is_refused(blame: &Blame<Part>, part: &str) -> bool {
     let refused = parts(&[part]);
     blame.find_refused(&refused, Instant::now()).is_some()
 }
 
 /// Lets endpoint `number` end under a request with these parts.
-fn crash(blame: &mut Blame, number: u64, ids: &[&str]) {
+fn crash(blame: &mut Blame<Part>, number: u64, ids: &[&str]) {
     let endpoint = format!("e{number}").into();
     blame.record_break(&endpoint, number, &parts(ids), false, Instant::now());
     blame.record_end(&endpoint, number, Instant::now());
@@ -335,7 +335,7 @@
         let (lost, now) = (placement.endpoint.to_string(), Instant::now());
         balancer.record_stall(&view, &"e5".into(), &lost, now);
         time::advance(CRASH_INTERVAL).await;
-        balancer.record_sound(&parts(&["system"]), Instant::now());
+        balancer.record_sound(8, &parts(&["system"]), Instant::now());
     }
     suspicious.fingerprint = 3;
     let fault = balancer
