Ask the store before what other entries tell is too old

Cause: nothing bounded how old an entry's news may be but the election of watchers. Its sign of life is the count of the store's answers, which rises by the end of a watch of 1.6 s, so that a loss shows after 2.5 s, plus up to 0.5 s by rank, plus the call: more than the 2 s of drains, configurations, evacuations and keys, which share the path. Ruled out: news that are known and not used (no `learned` before the take-over), and a slow call.

Change: each entry knows up to which time it has all changes, from the store's answers and from what others tell of themselves, and asks the store once when that is 0.6 to 0.75 of `bounds.change` ago, whatever the election says. Watchers on which others depend are answered within 0.4 of it; where all entries watch, watches last 1.6 s as before. Messages that waited while the process was paused prove nothing. The bound holds for an entry that hears of no other, and for watchers that are frozen or cut from the store alone.

--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -10,6 +10,7 @@
 use fleet::{Follower, Revision};
 use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::{
     net::UdpSocket,
     time::{self, Instant},
@@ -64,7 +65,13 @@
 /// Size of the receive buffer, and so of the largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8192;
 
+/// Time between two ticks after which the process was paused, so that messages may have waited for as long.
+const PAUSE_TIME: Duration = Duration::from_millis(400);
+/// Time after a pause in which such messages may still come in.
+const PAUSE_BACKLOG_TIME: Duration = Duration::from_millis(300);
+
 /// Gossip message.
+#[serde_as]
 #[derive(Debug, Deserialize, Serialize)]
 struct Message {
     /// Process name of the sender.
@@ -99,6 +106,10 @@
     /// Number of entries that the sender is aware of, itself included.
     #[serde(default)]
     entries: usize,
+    /// Time since which the store may have accepted changes that the sender does not know.
+    #[serde(default)]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    news_age: Option<Duration>,
 }
 
 /// Message that hands credit for endpoints with limits to its receiver.
@@ -116,11 +127,13 @@
     /// Number of entries that it is aware of.
     entries: usize,
     last_message: Instant,
+    /// Time up to which it knew all changes of the store.
+    current_at: Option<Instant>,
 }
 
 /// Exchanges load, crashes, missing endpoints and store revisions with other entries over UDP.
 ///
-/// Lock order: `members` before `seeds`, `entries` alone; the locks of [`Context`] and [`Follower`] are never taken while
+/// Lock order: `members` before `seeds`, `entries` and `ticks` alone; the locks of [`Context`] and [`Follower`] are never taken while
 /// another one is held.
 pub(crate) struct Gossip {
     socket: UdpSocket,
@@ -133,8 +146,49 @@
     watching: Arc<Watching>,
     members: Mutex<HashMap<SocketAddr, Member>>,
     seeds: Mutex<BTreeSet<SocketAddr>>,
-    /// Number of entries that are known, and the largest number that another one is aware of.
-    entries: Mutex<(usize, usize)>,
+    /// Numbers of entries as last published.
+    entries: Mutex<Counts>,
+    ticks: Mutex<Ticks>,
+}
+
+/// Numbers of entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Counts {
+    /// Entries that are known, this one included.
+    known: usize,
+    /// Those of them in the own zone.
+    in_zone: usize,
+    /// Largest number that another one is aware of.
+    reported: usize,
+}
+
+/// Times by which pauses of the process are detected.
+#[derive(Clone, Copy, Debug)]
+struct Ticks {
+    last: Instant,
+    /// Time until which messages may have waited while the process was paused.
+    doubtful_until: Instant,
+}
+
+impl Ticks {
+    fn new(now: Instant) -> Self {
+        Self {
+            last: now,
+            doubtful_until: now,
+        }
+    }
+
+    fn record(&mut self, now: Instant) {
+        if now.duration_since(self.last) >= PAUSE_TIME {
+            self.doubtful_until = now + PAUSE_BACKLOG_TIME;
+        }
+        self.last = now;
+    }
+
+    /// Returns whether a message that is read now was sent just before.
+    fn are_messages_recent(&self, now: Instant) -> bool {
+        now >= self.doubtful_until && now.duration_since(self.last) < PAUSE_TIME
+    }
 }
 
 impl Gossip {
@@ -164,7 +218,12 @@
             watching,
             members: Mutex::default(),
             seeds: Mutex::default(),
-            entries: Mutex::new((1, 1)),
+            entries: Mutex::new(Counts {
+                known: 1,
+                in_zone: 1,
+                reported: 1,
+            }),
+            ticks: Mutex::new(Ticks::new(Instant::now())),
         };
         gossip.set_seeds(&settings.seeds);
         Ok(Arc::new(gossip))
@@ -187,13 +246,16 @@
         let (mut sent_loads, mut sent_at, mut seeded_at) = (Vec::new(), Instant::now(), None);
         let (mut sent_revision, mut urgent_ticks) = (Revision::default(), 0);
         let (mut sent_limits, mut credit_ticks) = (0, 0);
+        let mut sent_confirmations = 0;
         let mut ticks = time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             let now = Instant::now();
+            lock(&self.ticks).record(now);
             self.remove_lost(now);
             self.log_verdicts();
+            self.adopt_news_age();
             let loads = self
                 .context
                 .with_balancer(|balancer| balancer.local_loads());
@@ -201,6 +263,10 @@
             if newest_revision != sent_revision {
                 (sent_revision, urgent_ticks) = (newest_revision, CHANGE_TICKS);
             }
+            let confirmations = self.watching.confirmations();
+            if confirmations != sent_confirmations && self.watching.has_dependents() {
+                (sent_confirmations, urgent_ticks) = (confirmations, urgent_ticks.max(1));
+            }
             let limit_changes = self
                 .context
                 .with_balancer(|balancer| balancer.limits().changes());
@@ -232,6 +298,19 @@
         }
     }
 
+    /// Takes over how new the news of others are whose changes are all known here.
+    fn adopt_news_age(&self) {
+        let (covered, ..) = self.follower.position();
+        let latest = lock(&self.members)
+            .values()
+            .filter(|member| member.newest_revision <= covered)
+            .filter_map(|member| member.current_at)
+            .max();
+        if let Some(at) = latest {
+            self.watching.record_reported_current(at);
+        }
+    }
+
     /// Chooses the gossip addresses of up to `count` random other entries.
     pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
         let members = lock(&self.members);
@@ -287,6 +366,7 @@
                 .context
                 .with_balancer(|balancer| balancer.limit_news(MAX_LIMITS, now)),
             entries: lock(&self.members).len() + 1,
+            news_age: self.watching.news_age(),
         };
         let (near, far) = self.split_by_zone(targets);
         self.send_to(&message, &far).await;
@@ -401,6 +481,10 @@
             zone: message.zone.clone(),
             entries: message.entries,
             last_message: now,
+            current_at: message
+                .news_age
+                .filter(|_| lock(&self.ticks).are_messages_recent(now))
+                .and_then(|age| now.checked_sub(age)),
         };
         let known = lock(&self.members).insert(from, member).is_some();
         if !known {
@@ -492,24 +576,29 @@
 
     /// Publishes the number of entries to the metrics and the balancer if it has changed.
     fn update_entry_count(&self) {
-        let (entries, reported) = {
+        let counts = {
             let members = lock(&self.members);
             let reported = members.values().map(|member| member.entries).max();
-            (members.len() + 1, reported.unwrap_or(1).min(MAX_ENTRIES))
+            let in_zone = members.values().filter(|m| m.zone == self.zone);
+            Counts {
+                known: members.len() + 1,
+                in_zone: in_zone.count() + 1,
+                reported: reported.unwrap_or(1).min(MAX_ENTRIES),
+            }
         };
-        let before = std::mem::replace(&mut *lock(&self.entries), (entries, reported));
-        if before == (entries, reported) {
+        let before = std::mem::replace(&mut *lock(&self.entries), counts);
+        if before == counts {
             return;
         }
         self.context
             .metrics
             .entries
-            .set(i64::try_from(entries).unwrap_or(i64::MAX));
-        self.watching.set_entry_count(entries);
+            .set(i64::try_from(counts.known).unwrap_or(i64::MAX));
+        self.watching.set_entry_counts(counts.known, counts.in_zone);
         self.context.with_balancer(|balancer| {
             let now = Instant::now();
-            balancer.set_entry_count(entries, now);
-            balancer.set_reported_entries(reported, now);
+            balancer.set_entry_count(counts.known, now);
+            balancer.set_reported_entries(counts.reported, now);
         });
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod dispatch;
 pub mod events;
 mod forward;
+mod freshness;
 mod gossip;
 mod groups;
 mod health;
@@ -42,6 +43,7 @@
 pub use blame::{Blame, Crash, CrashId, Fingerprint, News, Part, Refusal, Subject, Verdict};
 pub use budget::Budget;
 pub use departures::{Departures, Incarnation};
+pub use freshness::Freshness;
 pub use health::Health;
 pub use limits::Limits;
 pub use load::{Load, Loads};
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -72,6 +72,10 @@
     pub cold_overshoot: f64,
     /// Requests per second that are added to the limit of a cold endpoint.
     pub cold_slack: f64,
+    /// Time within which a change in the store must be in force everywhere.
+    #[serde(default = "default_change")]
+    #[serde_as(as = "unit::Span")]
+    pub change: Duration,
     /// Time from the termination signal until the process is killed.
     #[serde_as(as = "unit::Span")]
     pub grace: Duration,
@@ -82,6 +86,11 @@
     8
 }
 
+/// Returns the shortest time that the platform allows for a change.
+const fn default_change() -> Duration {
+    Duration::from_secs(2)
+}
+
 impl Settings {
     /// Reads and validates a file of JSON with comments.
     ///
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod group_stalls;
 mod health_ejection;
 mod load_reports;
+mod news_age;
 mod pass_gaps;
 mod prompt_parts;
 mod rank_refusal;
--- a/crates/direct/tests/suite/support.rs
+++ b/crates/direct/tests/suite/support.rs
@@ -24,6 +24,7 @@
         retry_window: Duration::from_secs(10),
         cold_overshoot: 1.5,
         cold_slack: 5.0,
+        change: Duration::from_secs(2),
         grace: Duration::from_secs(8),
     }
 }
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -5,13 +5,13 @@
     time::Duration,
 };
 
-use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 use tokio::{
     sync::watch,
     time::{self, Instant},
 };
 
-use crate::{Duty, Pace, Page, Replica, Revision, Source, SourceError, Update, View};
+use crate::{Duty, Pace, Page, Patience, Replica, Revision, Source, SourceError, Update, View};
 
 /// Delay after a page with changes, so that the next call returns all changes that follow closely.
 ///
@@ -21,6 +21,8 @@
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
 /// Factors of the delay after a failed call, from which each process draws its own.
 const JITTER: Range<f64> = 0.7..1.3;
+/// Factors of the longest time between two answers of the store, so that processes do not ask together.
+const INTERVAL_JITTER: Range<f64> = 0.85..1.0;
 /// Time between two checks for lapsed endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -42,6 +44,15 @@
     }
 }
 
+/// Returns how long a watch may take so that the store answers again within `interval` of its last answer.
+fn choose_patience(pace: Pace, interval: Option<Duration>, answered_at: Instant) -> Patience {
+    let Some(interval) = interval else {
+        return pace.watch();
+    };
+    let interval = interval.mul_f64(rand::random_range(INTERVAL_JITTER));
+    pace.watch_for(interval.saturating_sub(answered_at.elapsed()))
+}
+
 /// Returns the name of a call's outcome in the metrics.
 const fn outcome(result: &Result<Page, SourceError>) -> &'static str {
     match result {
@@ -60,6 +71,8 @@
     view: watch::Sender<Arc<View>>,
     version: IntGauge,
     calls: IntCounterVec,
+    /// Calls of a process off duty, since what it knew might be too old.
+    checks: IntCounter,
 }
 
 impl Follower {
@@ -80,11 +93,17 @@
         let calls = IntCounterVec::new(options, &["outcome"])?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(calls.clone()))?;
+        let checks = IntCounter::new(
+            "apricot_fleet_store_checks_total",
+            "Calls to the store off duty, as the news from others were too old.",
+        )?;
+        registry.register(Box::new(checks.clone()))?;
         Ok(Self {
             replica: Mutex::default(),
             view: watch::Sender::default(),
             version,
             calls,
+            checks,
         })
     }
 
@@ -139,11 +158,19 @@
         tokio::spawn(self.clone().expire());
         let (mut is_obsolete, mut pace) = (false, Pace::default());
         let mut unavailable_since: Option<Instant> = None;
+        let mut answered_at = Instant::now();
         loop {
-            if !pace.is_doubtful() && !duty.is_on() {
+            let is_on = pace.is_doubtful() || duty.is_on();
+            if !is_on && !duty.is_stale() {
                 time::sleep(DUTY_INTERVAL).await;
                 continue;
             }
+            let patience = if is_on {
+                choose_patience(pace, duty.max_interval(), answered_at)
+            } else {
+                self.checks.inc();
+                pace.listing()
+            };
             let (covered, ..) = self.position();
             // The replica may come from another process, and is then watched from there on.
             let listing = is_obsolete || covered == Revision::default();
@@ -151,13 +178,14 @@
             let result = if listing {
                 source.list(pace.listing()).await
             } else {
-                source.watch(covered, pace.watch()).await
+                source.watch(covered, patience).await
             };
             let result = check_era(result, listing, covered);
             self.calls.with_label_values(&[outcome(&result)]).inc();
             if !matches!(result, Err(SourceError::Unavailable(_))) {
                 pace.record_answer();
                 duty.record_answer();
+                answered_at = Instant::now();
                 if let Some(since) = unavailable_since.take() {
                     log::info!(covered:% = covered, down_ms = since.elapsed().as_millis(); "store is available again");
                 }
@@ -167,6 +195,8 @@
                     is_obsolete = false;
                     let changed = !page.changes.is_empty();
                     self.apply(page, "store");
+                    // The first page of a listing is as old as the call.
+                    duty.record_current(if listing { called_at } else { answered_at });
                     if changed {
                         time::sleep(BATCH_DELAY).await;
                     }
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -38,12 +38,18 @@
     /// After a failure it returns at once, as it is only to tell whether the store answers.
     #[must_use]
     pub const fn watch(self) -> Patience {
+        self.watch_for(WATCH_WAIT)
+    }
+
+    /// Returns how long the next watch may take if it is to be held for `wait`.
+    #[must_use]
+    pub const fn watch_for(self, wait: Duration) -> Patience {
         if self.failures > 0 {
             return self.listing();
         }
         Patience {
-            wait: WATCH_WAIT,
-            timeout: WATCH_WAIT.saturating_add(WATCH_RESPONSE_MARGIN),
+            wait,
+            timeout: wait.saturating_add(WATCH_RESPONSE_MARGIN),
         }
     }
 
--- a/crates/peer/src/election.rs
+++ b/crates/peer/src/election.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of platform watchers in each availability zone.
-const WATCHERS_PER_ZONE: usize = 3;
+pub const WATCHERS_PER_ZONE: usize = 3;
 /// Time without a higher count after which a watcher counts as failed.
 const WATCHER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest delay before a process takes over; its rank sets its share of the delay.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,7 +8,7 @@
 mod table;
 
 pub use choose::{Candidate, choose};
-pub use election::Election;
+pub use election::{Election, WATCHERS_PER_ZONE};
 pub use members::Members;
 pub use neighbours::Neighbours;
 pub use table::{Change, State, Table};
