Refuse requests that a shutdown may cut

Cause: the 3.2 s in which the load balancer may still send new connections also decided how long requests were taken; nothing compared a request with the time left. The logs show `sent` with left_ms=7969 and 4.5 s to go. Ruled out: an exit before its time, and connections that are closed while in use.

Change: `Grace` decides once the body is read. A request is taken if its deadline lies before the exit; in the first 0.3 of the grace period (at most 2.6 s) also if 95 in 100 requests of its route lately ended in the time left. Any other is refused with 503 and `Connection: close`, so that the client can go elsewhere. Late requests then end by their deadline, for any grace period.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -28,8 +28,8 @@
     spill::Spill,
 };
 use crate::{
-    Blame, Bounds, Budget, Departures, Fingerprint, Health, Limits, Loads, Part, Pauses, Stalls,
-    budget, cold, departures::Incarnation, terms::Terms,
+    Blame, Bounds, Budget, Departures, Durations, Fingerprint, Health, Limits, Loads, Part, Pauses,
+    Stalls, budget, cold, departures::Incarnation, terms::Terms,
 };
 
 /// Number of engines of a group that must run requests without progress for the group to count as
@@ -179,6 +179,7 @@
     terms: Option<Terms>,
     locality: Locality,
     latency: Latency,
+    durations: Durations,
     spills: Spills,
     random: SmallRng,
 }
@@ -197,6 +198,7 @@
         Self {
             locality: Locality::new(zone.clone()),
             latency: Latency::default(),
+            durations: Durations::default(),
             spills: Spills::default(),
             zone,
             live_entries: 1,
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -4,6 +4,7 @@
 
 use conf::id;
 use fleet::{Registration, View};
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::{Balancer, Outcome, Placement};
@@ -66,6 +67,17 @@
         false
     }
 
+    /// Records how long a request of a route took, from its arrival to the end of the answer.
+    pub fn record_duration(&mut self, route: &SmolStr, duration: Duration, now: Instant) {
+        self.durations.record(route, duration, now);
+    }
+
+    /// Returns the time within which the requests of a route are usually complete, if that is known.
+    #[must_use]
+    pub fn usual_duration(&self, route: &str) -> Option<Duration> {
+        self.durations.usual(route)
+    }
+
     /// Records that the endpoint of a placement stated that it is leaving; returns false if that was
     /// known.
     pub fn record_leaving(&mut self, placement: &Placement, now: Instant) -> bool {
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -21,7 +21,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    Attempt, Balancer, Fingerprint, Outcome, Placement, Protocol,
+    Attempt, Balancer, Fingerprint, Grace, Outcome, Placement, Protocol,
     balancer::Choice,
     body::{self, Body},
     dispatch::{Dispatch, log_outcome, log_retry, log_spill},
@@ -68,6 +68,7 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) shutdown: Shutdown,
+    pub(crate) grace: Grace,
 }
 
 impl Context {
@@ -249,6 +250,7 @@
         let first_event_by = route
             .event_timeout
             .map(|timeout| arrived + timeout.saturating_sub(FIRST_EVENT_MARGIN));
+        check_grace(context, &route, deadline)?;
         let service = choose_service(&route, &request.id);
         let team_priority = team.and_then(|t| t.priority);
         let (level, levels) = context.with_balancer(|balancer| {
@@ -667,7 +669,11 @@
 
     /// Counts the client request and its response times in the metrics.
     fn record_response(&self, outcome: &str) {
-        let age = self.arrived.elapsed().as_secs_f64();
+        let duration = self.arrived.elapsed();
+        self.context.with_balancer(|balancer| {
+            balancer.record_duration(&self.route.name, duration, Instant::now());
+        });
+        let age = duration.as_secs_f64();
         self.context
             .metrics
             .requests
@@ -678,6 +684,26 @@
     }
 }
 
+/// Returns a fault if the process shuts down and may exit before a request with this deadline is complete.
+fn check_grace(context: &Context, route: &Route, deadline: Instant) -> Result<(), Fault> {
+    if !context.shutdown.is_draining() {
+        return Ok(());
+    }
+    let now = Instant::now();
+    let end = context.grace.start(now);
+    let usual = context.with_balancer(|balancer| balancer.usual_duration(&route.name));
+    if context.grace.admits(deadline, usual, now) {
+        return Ok(());
+    }
+    let detail = format!(
+        "exits in {} ms, the request may run for {} ms, usually {} ms",
+        millis(end.saturating_duration_since(now)),
+        millis(deadline.saturating_duration_since(now)),
+        usual.map_or(0, millis)
+    );
+    Err(Fault::new(ErrorKind::ShuttingDown).detail(detail))
+}
+
 fn configuration(context: &Context) -> Result<Arc<Configuration>, Fault> {
     let view = context.view.borrow();
     view.configuration
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -16,8 +16,8 @@
 };
 
 use crate::{
-    Balancer, Protocol, Settings, call::Context, gossip::Gossip, groups::Groups, metrics::Metrics,
-    pool::Pool, server, sync, watching::Watching,
+    Balancer, Grace, Protocol, Settings, call::Context, gossip::Gossip, groups::Groups,
+    metrics::Metrics, pool::Pool, server, sync, watching::Watching,
 };
 
 /// Interval at which expired idle connections are closed.
@@ -58,6 +58,7 @@
         pool: Pool::default(),
         metrics,
         shutdown: node::shutdown_on_signal()?,
+        grace: Grace::new(settings.bounds.grace),
     });
     let listen = &settings.listen;
     let ready = bind(listen.ready, "ready").await?;
@@ -81,7 +82,7 @@
     tokio::spawn(gossip.run());
     tokio::spawn(follower.run(source, watching));
     tokio::spawn(clean_up(context.clone()));
-    server::serve(clients, context, settings.bounds.grace).await;
+    server::serve(clients, context).await;
     log::info!(process:% = settings.name; "stop");
     Ok(())
 }
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -16,8 +16,6 @@
 /// Time for which new connections are still accepted after readiness checks started to fail: the load
 /// balancer checks once a second and acts on two results in a row.
 const DRAIN_DELAY: Duration = Duration::from_millis(3200);
-/// Time before the end of the grace period by which the process exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Largest request head in bytes before a configuration is known.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Idle time limit of connections before a configuration is known.
@@ -29,11 +27,11 @@
 
 /// Accepts client connections until the process shuts down, then waits for the requests in flight
 /// until the grace period ends.
-pub(crate) async fn serve(listener: TcpListener, context: Arc<Context>, grace: Duration) {
+pub(crate) async fn serve(listener: TcpListener, context: Arc<Context>) {
     let graceful = GracefulShutdown::new();
     let drained = wait_until_drained(&context);
     tokio::pin!(drained);
-    loop {
+    let end = loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => serve_client(stream, &context, &graceful),
@@ -42,11 +40,10 @@
                     time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
-            () = &mut drained => break,
+            end = &mut drained => break end,
         }
-    }
+    };
     drop(listener);
-    let end = Instant::now() + grace.saturating_sub(DRAIN_DELAY + EXIT_MARGIN);
     let connections = graceful.count();
     if time::timeout_at(end, graceful.shutdown()).await.is_err() {
         log::warn!(in_flight = context.metrics.in_flight.get(); "grace period is over; requests in flight are aborted");
@@ -54,11 +51,14 @@
     log::info!(connections = connections; "client connections are closed");
 }
 
-/// Waits for the shutdown, then until the load balancer in front sends no more connections.
-async fn wait_until_drained(context: &Context) {
+/// Waits for the shutdown, then until the load balancer in front sends no more connections; returns the time at which
+/// the process exits.
+async fn wait_until_drained(context: &Context) -> Instant {
     context.shutdown.draining().await;
+    let end = context.grace.start(Instant::now());
     log::info!(in_flight = context.metrics.in_flight.get(); "shutting down");
     time::sleep(DRAIN_DELAY).await;
+    end
 }
 
 fn serve_client(stream: TcpStream, context: &Arc<Context>, graceful: &GracefulShutdown) {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -201,7 +201,10 @@
                     }
                     Ok(Ok(bytes)) => return Some(Ok(bytes)),
                     Ok(Err(e)) => e,
-                    Err(_) => return Some(Err(self.abort("deadline passed during the stream"))),
+                    Err(_) => {
+                        self.record_duration();
+                        return Some(Err(self.abort("deadline passed during the stream")));
+                    }
                 };
             if !self.fail_over(&error).await {
                 return Some(Err(self.abort(&error.to_string())));
@@ -244,11 +247,27 @@
         }
         self.log_outcome(&upstream, "answered", "stream complete");
         upstream.finish();
-        let age = self.resumption.arrived.elapsed().as_secs_f64();
-        self.resumption.context.metrics.full_response.observe(age);
+        let duration = self.record_duration();
+        let metrics = &self.resumption.context.metrics;
+        metrics.full_response.observe(duration.as_secs_f64());
         self.count_request("answered");
     }
 
+    /// Records and returns how long the request took.
+    fn record_duration(&self) -> Duration {
+        let Resumption {
+            context,
+            route,
+            arrived,
+            ..
+        } = &self.resumption;
+        let duration = arrived.elapsed();
+        context.with_balancer(|balancer| {
+            balancer.record_duration(&route.name, duration, Instant::now());
+        });
+        duration
+    }
+
     /// Marks the stream as ended and returns the error that aborts the response.
     fn abort(&mut self, reason: &str) -> io::Error {
         self.ended = true;
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod fleet_retries;
 mod group_stalls;
 mod health_ejection;
+mod late_admission;
 mod load_reports;
 mod news_age;
 mod pass_gaps;
