Take a success without length and body for broken off

Callers: a server that closed after the head of an answer, which had neither a length nor chunks, made the entry send a 200 with `Content-Length: 0`, framed as whole.

Cause: such an answer ends with its connection, so that nothing tells its end from its loss; streams were guarded against that, plain answers not.

Change: a success without a length, chunks or a byte counts as a break, unless its status or the method says that it has no body.

broken_heads::broken_answers_incomplete, 96 cases: 4 answers looked whole before (plain, of both kinds, on new and kept connections), none after. Heads that are broken off were never taken for whole: the HTTP library reports them.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -29,7 +29,7 @@
     metadata,
     metrics::{MAX_LEVEL, Metrics},
     pool::{self, Connection, Error, Pool, Received},
-    response::{build_error_response, build_response},
+    response::{build_error_response, build_response, has_body, is_unframed},
     resumption::Resumption,
     stream::Upstream,
 };
@@ -509,6 +509,17 @@
         )
         .await;
         let bytes = match collected {
+            // The connection may have ended before the body.
+            Ok(Ok(bytes))
+                if bytes.is_empty()
+                    && is_unframed(&head)
+                    && has_body(&self.head.method, head.status) =>
+            {
+                self.log_outcome(&dispatch, "broke amid its answer", "no body and no length");
+                self.record_break(&dispatch);
+                dispatch.end(Outcome::Broke);
+                return Disposition::Unknown(SmolStr::new_static("the answer was cut"));
+            }
             Ok(Ok(bytes)) => bytes,
             Ok(Err(e)) => {
                 self.log_outcome(&dispatch, "broke amid its answer", &e.to_string());
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -1,7 +1,7 @@
 //! Responses to clients: those of endpoints, and error responses of the entry itself.
 
 use fault::{Fault, PROBLEM_TYPE, Run};
-use http::{HeaderValue, Response, StatusCode, header, response};
+use http::{HeaderValue, Method, Response, StatusCode, header, response};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -19,6 +19,20 @@
     response
 }
 
+/// Returns whether the body of an endpoint's response has neither a length nor chunks, so that its end and its loss
+/// look alike.
+pub(crate) fn is_unframed(head: &response::Parts) -> bool {
+    !head.headers.contains_key(header::CONTENT_LENGTH)
+        && !head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Returns whether a success to a request with this method has a body.
+pub(crate) fn has_body(method: &Method, status: StatusCode) -> bool {
+    status.is_success()
+        && ![StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT].contains(&status)
+        && method != Method::HEAD
+}
+
 /// Builds, logs and counts an error response.
 pub(crate) fn build_error_response(
     context: &Context,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::{header, response};
+use http::response;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::time::{self, Instant};
@@ -14,6 +14,7 @@
     dispatch::{Dispatch, log_outcome},
     events::Splitter,
     pool::{self, Connection, keep_alive},
+    response::is_unframed,
     resumption::Resumption,
 };
 
@@ -67,8 +68,7 @@
             connection: Some(connection),
             keep_alive: keep_alive(&head.headers),
             splitter: Splitter::default(),
-            is_unframed: !head.headers.contains_key(header::CONTENT_LENGTH)
-                && !head.headers.contains_key(header::TRANSFER_ENCODING),
+            is_unframed: is_unframed(head),
             has_event: false,
             last_id,
             last_event_at: None,
