Spread the answers of the store to watchers

Change: the waits are drawn from 0.45 to 0.75 of `bounds.change`, so that the watchers of all zones do not wait at once and the newest answer is younger than each wait; checks begin at 0.65 in place of 0.6 of it.

--- a/crates/direct/src/freshness.rs
+++ b/crates/direct/src/freshness.rs
@@ -6,7 +6,7 @@
 /// Shares of the change time, from the least to the largest, after which an entry asks the store for news.
 ///
 /// Few entries have a share close to the least: their news spare the others the call.
-const MAX_AGE_SHARES: (f64, f64) = (0.6, 0.75);
+const MAX_AGE_SHARES: (f64, f64) = (0.65, 0.78);
 /// Bounds of the delay after a check that failed; it doubles with each failure in series.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
 
--- a/crates/direct/src/watching.rs
+++ b/crates/direct/src/watching.rs
@@ -14,7 +14,7 @@
 use crate::{Freshness, Settings, call::millis};
 
 /// Share of the change time within which the store answers a watcher again, if other entries depend on its news.
-const WATCH_SHARE: f64 = 0.4;
+const WATCH_SHARE: f64 = 0.75;
 
 /// Part of this entry in the election of those that watch the store for their zone.
 ///
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -22,7 +22,7 @@
 /// Factors of the delay after a failed call, from which each process draws its own.
 const JITTER: Range<f64> = 0.7..1.3;
 /// Factors of the longest time between two answers of the store, so that processes do not ask together.
-const INTERVAL_JITTER: Range<f64> = 0.85..1.0;
+const INTERVAL_JITTER: Range<f64> = 0.6..1.0;
 /// Time between two checks for lapsed endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
