--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -7,6 +7,7 @@
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use conf::id;
+use rand::seq::IteratorRandom as _;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -27,7 +28,7 @@
 /// Age up to which crashes and rebuttals are told to other entries.
 const REPORT_SPAN: Duration = Duration::from_secs(2);
 /// Maximum number of blamed subjects, and of breaks that are remembered.
-const MAX_RECORDS: usize = 512;
+const MAX_RECORDS: usize = 2048;
 /// Maximum number of subjects whose answers are remembered.
 const MAX_ANSWERED: usize = 4096;
 /// Maximum number of entries in each list of [`News`], so that they fit into one packet.
@@ -265,25 +266,20 @@
             age: now.duration_since(known.at),
             is_repeat: known.is_repeat,
         });
-        let mut refused: Vec<Refusal<K>> = self
-            .records
-            .iter()
-            .filter_map(|(subject, record)| {
-                let age = now.duration_since(record.refused_at?);
-                (age < REFUSAL_TIME).then(|| Refusal {
-                    subject: subject.clone(),
-                    age,
-                    crashes: record.refused_for,
-                })
+        let refused = self.records.iter().filter_map(|(subject, record)| {
+            let age = now.duration_since(record.refused_at?);
+            (age < REFUSAL_TIME).then(|| Refusal {
+                subject: subject.clone(),
+                age,
+                crashes: record.refused_for,
             })
-            .collect();
-        refused.sort_by_key(|refusal| refusal.age);
-        refused.truncate(MAX_NEWS);
+        });
         let sound = self.rebuttals.iter().rev();
         let sound = sound.filter(|(_, at)| is_recent(*at));
         News {
             crashes: crashes.take(MAX_NEWS).collect(),
-            refused,
+            // A sample, so that all are told in some messages.
+            refused: refused.sample(&mut rand::rng(), MAX_NEWS),
             sound: sound
                 .map(|(subject, _)| subject.clone())
                 .take(MAX_NEWS)
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     Balancer, Fingerprint, Incarnation, Load, News, Part, Settings, Verdict, call::Context,
-    dispatch::log_limit, limits, sync, watching::Watching,
+    dispatch::log_limit, limits, sync, ticks::Ticks, watching::Watching,
 };
 
 /// Interval at which changes of the local load are checked for and sent.
@@ -65,11 +65,6 @@
 /// Size of the receive buffer, and so of the largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8192;
 
-/// Time between two ticks after which the process was paused, so that messages may have waited for as long.
-const PAUSE_TIME: Duration = Duration::from_millis(400);
-/// Time after a pause in which such messages may still come in.
-const PAUSE_BACKLOG_TIME: Duration = Duration::from_millis(300);
-
 /// Gossip message.
 #[serde_as]
 #[derive(Debug, Deserialize, Serialize)]
@@ -162,35 +157,6 @@
     reported: usize,
 }
 
-/// Times by which pauses of the process are detected.
-#[derive(Clone, Copy, Debug)]
-struct Ticks {
-    last: Instant,
-    /// Time until which messages may have waited while the process was paused.
-    doubtful_until: Instant,
-}
-
-impl Ticks {
-    fn new(now: Instant) -> Self {
-        Self {
-            last: now,
-            doubtful_until: now,
-        }
-    }
-
-    fn record(&mut self, now: Instant) {
-        if now.duration_since(self.last) >= PAUSE_TIME {
-            self.doubtful_until = now + PAUSE_BACKLOG_TIME;
-        }
-        self.last = now;
-    }
-
-    /// Returns whether a message that is read now was sent just before.
-    fn are_messages_recent(&self, now: Instant) -> bool {
-        now >= self.doubtful_until && now.duration_since(self.last) < PAUSE_TIME
-    }
-}
-
 impl Gossip {
     /// Binds the UDP socket.
     ///
@@ -527,24 +493,21 @@
     fn log_verdicts(&self) {
         let requests = self.context.with_balancer(Balancer::take_request_verdicts);
         for verdict in requests {
-            match verdict {
+            let name = match verdict {
                 Verdict::Refused(fingerprint) => {
-                    self.context
-                        .metrics
-                        .suspects
-                        .with_label_values(&["refused"])
-                        .inc();
                     log::warn!(fingerprint:% = format!("{fingerprint:016x}"); "request is refused: endpoints crash under it");
+                    "refused"
                 }
                 Verdict::Sound(fingerprint) => {
-                    self.context
-                        .metrics
-                        .suspects
-                        .with_label_values(&["sound"])
-                        .inc();
                     log::info!(fingerprint:% = format!("{fingerprint:016x}"); "request is sound");
+                    "sound"
                 }
-            }
+            };
+            self.context
+                .metrics
+                .suspects
+                .with_label_values(&[name])
+                .inc();
         }
         let parts = self.context.with_balancer(Balancer::take_part_verdicts);
         for verdict in parts {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -38,6 +38,7 @@
 mod stream;
 mod sync;
 mod terms;
+mod ticks;
 mod watching;
 mod window;
 
--- a/crates/direct/tests/suite/crash_suspects.rs
+++ b/crates/direct/tests/suite/crash_suspects.rs
@@ -51,6 +51,21 @@
     assert!(other.news(Instant::now()).refused.is_empty());
 }
 
+/// Guards against a restarted entry that learns only of the newest refusals.
+#[tokio::test(start_paused = true)]
+async fn all_refusals_learned() {
+    let (mut known, mut restarted) = (Blame::default(), Blame::default());
+    for request in 0..60 {
+        crash(&mut known, 2 * request, request, false);
+        crash(&mut known, 2 * request + 1, request, true);
+        time::advance(INTERVAL).await;
+    }
+    for _ in 0..60 {
+        restarted.merge(&known.news(Instant::now()), Instant::now());
+    }
+    assert!((0..60).all(|request| is_refused(&restarted, request)));
+}
+
 /// Guards against refusing a request that was on several endpoints which ended at the same moment.
 #[tokio::test(start_paused = true)]
 async fn common_end_counts_once() {
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -195,8 +195,13 @@
                     is_obsolete = false;
                     let changed = !page.changes.is_empty();
                     self.apply(page, "store");
-                    // The first page of a listing is as old as the call.
-                    duty.record_current(if listing { called_at } else { answered_at });
+                    // The store holds a watch for the wait time at most, and reads a listing page by page.
+                    let held = if listing {
+                        Duration::ZERO
+                    } else {
+                        patience.wait
+                    };
+                    duty.record_current(answered_at.min(called_at + held));
                     if changed {
                         time::sleep(BATCH_DELAY).await;
                     }
