Keep to the least delay between checks of a store that does not answer

Operators would have seen calls to a store in trouble closer together than stated.

Cause: the delay after a failed check was multiplied by 0.75 to 1.25, so that it fell below its stated least value (0.75 s for 1 s, 1.5 s for 2 s), and an entry could make six calls where the least delays allow five. The factor is random and not seeded. Ruled out: load on the machine (the test's clock is paused).

Change: the factor is 1 to 1.25, so that the least delays hold by construction; the longest delay stays 10 s. The test now also checks each delay of each entry against the least one (1, 2, 4, 8 s); its bound on the sum is unchanged.

With least delays no entry can make a sixth call within 20 s: 1.3 + 1 + 2 + 4 + 8 + 8 s.

--- a/crates/direct/src/freshness.rs
+++ b/crates/direct/src/freshness.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use rand::RngExt as _;
 use tokio::time::Instant;
@@ -7,8 +7,10 @@
 ///
 /// Few entries have a share close to the least: their news spare the others the call.
 const MAX_AGE_SHARES: (f64, f64) = (0.65, 0.78);
-/// Bounds of the delay after a check that failed; it doubles with each failure in series.
+/// Least delay after the first check that failed, and after many in series; it doubles with each failure.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
+/// Range of the random factor of the delay, so that entries do not ask together.
+const JITTER: Range<f64> = 1.0..1.25;
 
 /// Tracks up to which time an entry knows all changes that the store had accepted.
 ///
@@ -52,7 +54,7 @@
         let (min, max) = RETRY_DELAYS;
         let delay = (min * (1 << self.failures.min(8))).min(max);
         self.failures = self.failures.saturating_add(1);
-        self.retry_at = now + delay.mul_f64(rand::random_range(0.75..1.25));
+        self.retry_at = now + delay.mul_f64(rand::random_range(JITTER));
     }
 
     /// Returns whether the store is to be asked now.
--- a/crates/direct/tests/suite/news_age.rs
+++ b/crates/direct/tests/suite/news_age.rs
@@ -55,16 +55,27 @@
 async fn failed_checks_spaced() {
     let mut fleet: Vec<Freshness> = (0..98).map(freshness).collect();
     let mut calls = [0_u32; 20];
+    let mut called_at: Vec<Vec<Instant>> = vec![Vec::new(); 98];
     for step in 0..400 {
         time::advance(TICK).await;
         let now = Instant::now();
-        for entry in &mut fleet {
+        for (entry, called_at) in fleet.iter_mut().zip(&mut called_at) {
             if entry.is_stale(now) {
                 calls[step / 20] += 1;
+                called_at.push(now);
                 entry.record_failure(now);
             }
         }
     }
+    for called_at in called_at {
+        let delays = called_at.windows(2).map(|pair| pair[1] - pair[0]);
+        for (delay, least) in delays.zip([1, 2, 4, 8, 8]) {
+            assert!(
+                delay >= Duration::from_secs(least),
+                "{delay:?}, at least {least} s"
+            );
+        }
+    }
     println!("{calls:?}");
     assert!(calls.iter().sum::<u32>() <= 98 * 5, "{calls:?}");
     let now = Instant::now();
