State the response's own status in the body of a refusal

Seen: a request refused as a suspect, or because its time was over on arrival, was answered 503 with a body that says "status":422 or "status":504.

Cause: the adapter maps kinds to other status codes than their own, since 503 alone tells clients that the request did not run; the body was built from the kind. Ruled out: the entry's own interface (crates/entry), which answers with the kind's status.

Change: the body takes the status of the response. Test refusal_bodies::stated_status_matches failed before (503 with "status":504), passes after.

--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -1,6 +1,6 @@
 //! Responses to clients: those of endpoints, and error responses of the entry itself.
 
-use fault::{Fault, PROBLEM_TYPE, Run};
+use fault::{Fault, PROBLEM_TYPE, Problem, Run};
 use http::{HeaderValue, Method, Response, StatusCode, header, response};
 use smol_str::SmolStr;
 use tokio::time::Instant;
@@ -63,7 +63,10 @@
         age_ms = millis(age);
         "refused"
     );
-    let problem = fault.problem(id);
+    let problem = Problem {
+        status: status.as_u16(),
+        ..fault.problem(id)
+    };
     let bytes = serde_json::to_vec(&problem).unwrap_or_else(|e| {
         log::warn!(request:% = id, reason:% = e; "error response body cannot be encoded");
         Vec::new()
