Promise "not run" only where the endpoint stated so

Cause: statuses that promise "not run" were kept for such requests only in the entry's own answers; deliver_buffered passed on any signed answer, and took 408 and 429 for sound ones. Evidence: send ended outcome=failed reason="503 Service Unavailable", then the same status at the client. Ruled out: the entry's own 503 (each has run=no in its log line).

Change: to a request that may not be repeated, a 408, 429 or 503 without the statement becomes a 502 of the entry's own, of the new kind endpoint-failed (run: unknown), without the server's signature. Nothing else in the call's course changes.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -198,6 +198,8 @@
     Unknown(SmolStr),
     /// An error response of the endpoint, which the client gets if no other endpoint succeeds.
     Failed(Response<Body>),
+    /// The fault for the client; the endpoint may have run the request, and its error response says that it did not.
+    Misstated(Fault),
 }
 
 /// # Validation
@@ -294,6 +296,7 @@
             match self.attempt(placement).await {
                 Disposition::Done(response) => return Ok(response),
                 Disposition::Failed(response) => error_response = Some(response),
+                Disposition::Misstated(fault) => return Err(fault),
                 Disposition::Declined => {}
                 Disposition::Unknown(reason) => {
                     if self.route.repeat == Repeat::Forbidden {
@@ -540,7 +543,9 @@
         self.context
             .pool
             .put(connection, pool::keep_alive(&head.headers));
-        let failed = head.status.is_server_error();
+        let misstated = self.route.repeat == Repeat::Forbidden
+            && self.context.protocol.states_not_run(head.status);
+        let failed = head.status.is_server_error() || misstated;
         if !failed {
             dispatch.record_sound(&self.request, self.fingerprint);
         }
@@ -554,6 +559,13 @@
         } else {
             Outcome::Whole
         });
+        if misstated {
+            let detail = format!(
+                "status {} without a statement that it did not run",
+                head.status
+            );
+            return Disposition::Misstated(Fault::new(ErrorKind::EndpointFailed).detail(detail));
+        }
         self.record_response(if failed { "failed" } else { "answered" });
         let response = build_response(&head, body::full(bytes));
         if failed && self.route.repeat != Repeat::Forbidden {
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -23,6 +23,9 @@
     /// Returns the status code of an error response.
     fn status(&self, fault: &Fault) -> StatusCode;
 
+    /// Returns whether clients take a status code as the statement that the request did not run.
+    fn states_not_run(&self, status: StatusCode) -> bool;
+
     /// Formats the value of the `Retry-After` header.
     fn retry_after(&self, after: Duration) -> HeaderValue;
 }
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -76,6 +76,10 @@
         fault.kind().response().status
     }
 
+    fn states_not_run(&self, status: StatusCode) -> bool {
+        status == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     fn retry_after(&self, _: Duration) -> HeaderValue {
         HeaderValue::from_static("1")
     }
--- a/crates/fault/src/kind.rs
+++ b/crates/fault/src/kind.rs
@@ -52,6 +52,8 @@
     Interrupted,
     /// The endpoint's response is incomplete or belongs to another request.
     BadAnswer,
+    /// The endpoint failed the request with a status that would state that it did not run.
+    EndpointFailed,
     /// The deadline passed while the request was running.
     DeadlineRunning,
     /// The process is shutting down and accepts no new requests.
@@ -64,7 +66,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of declaration.
-    pub const ALL: [ErrorKind; 26] = [
+    pub const ALL: [ErrorKind; 27] = [
         ErrorKind::Unauthenticated,
         ErrorKind::NoRoute,
         ErrorKind::Malformed,
@@ -87,6 +89,7 @@
         ErrorKind::OwnerLost,
         ErrorKind::Interrupted,
         ErrorKind::BadAnswer,
+        ErrorKind::EndpointFailed,
         ErrorKind::DeadlineRunning,
         ErrorKind::ShuttingDown,
         ErrorKind::NotReady,
@@ -119,6 +122,7 @@
             ErrorKind::OwnerLost => "owner-lost",
             ErrorKind::Interrupted => "interrupted",
             ErrorKind::BadAnswer => "bad-answer",
+            ErrorKind::EndpointFailed => "endpoint-failed",
             ErrorKind::DeadlineRunning => "deadline-running",
             ErrorKind::ShuttingDown => "shutting-down",
             ErrorKind::NotReady => "not-ready",
--- a/crates/fault/src/response.rs
+++ b/crates/fault/src/response.rs
@@ -187,6 +187,12 @@
                 Idempotent,
                 "The endpoint's answer is not whole.",
             ),
+            ErrorKind::EndpointFailed => new_response(
+                StatusCode::BAD_GATEWAY,
+                Unknown,
+                Idempotent,
+                "The endpoint failed the request, which may have run.",
+            ),
             ErrorKind::DeadlineRunning => new_response(
                 StatusCode::GATEWAY_TIMEOUT,
                 Unknown,
