Eject no endpoint for a version that it does not have

Seen (by the review): one request with an Expect-Version that no server has, every 1.5 s, and 108 of 116 other look-ups were refused.

Cause: a 421 was taken for another server at the endpoint's address, which ejects the endpoint for 4 s and tells all entries. Evidence: in the test the fourth other request is refused, after one such request to each server.

Change: where the request asks for a version, its 421 declines the request and changes nothing that is known of the endpoint. If another server is at the address after all, the next request without a version finds it. One place decides for calls and resumed streams (metadata::Response::declined_outcome). Not changed: such a request is still offered to up to five endpoints before it is refused.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -489,12 +489,7 @@
         if let Ok(Ok(_)) = time::timeout(DECLINED_BODY_TIMEOUT, collecting).await {
             self.context.pool.put(connection, keep_alive);
         }
-        let outcome = if metadata.misdirected {
-            Outcome::Misdirected
-        } else {
-            Outcome::Declined
-        };
-        dispatch.end(outcome);
+        dispatch.end(metadata.declined_outcome(&self.request));
         Disposition::Declined
     }
 
--- a/crates/direct/src/metadata.rs
+++ b/crates/direct/src/metadata.rs
@@ -6,7 +6,7 @@
 use conf::id;
 use smol_str::SmolStr;
 
-use crate::Part;
+use crate::{Outcome, Part};
 
 /// Largest priority value, that of the requests which endpoints serve last.
 pub const MAX_PRIORITY: u8 = 9;
@@ -29,6 +29,8 @@
     /// Parts of the prompt that other requests may share, in order; without the last part, which is the
     /// request's own.
     pub shared_parts: Vec<Part>,
+    /// Whether the request asks for a version of the weights; endpoints with another one reject it as misdirected.
+    pub names_version: bool,
 }
 
 /// Metadata that is added to a request before it is sent to an endpoint.
@@ -82,6 +84,17 @@
 }
 
 impl Response {
+    /// Returns the outcome of an attempt to send `request` that this response declines.
+    #[must_use]
+    pub const fn declined_outcome(&self, request: &Request) -> Outcome {
+        match (self.misdirected, request.names_version) {
+            (false, _) => Outcome::Declined,
+            (true, false) => Outcome::Misdirected,
+            // It says nothing about the endpoint: the address may be right and the weights of another version.
+            (true, true) => Outcome::Dropped,
+        }
+    }
+
     /// Returns whether this is the response to the request `id`, which was sent on a new connection or a kept one.
     ///
     /// A refusal without an id is one of this request only if no other was sent on the connection: a faulty
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -136,11 +136,7 @@
                 if !is_own || !metadata.not_run && !metadata.misdirected {
                     self.possible_runs += 1;
                 }
-                let outcome = if metadata.misdirected {
-                    Outcome::Misdirected
-                } else {
-                    Outcome::Declined
-                };
+                let outcome = metadata.declined_outcome(&self.request);
                 (outcome, format!("status {}", head.status))
             }
         };
