Keep pauses of more than a minute

Cause: Pauses cut each pause to 60 s, a figure of our own against mistaken values.

Change: the longest pause is an hour. A server that names more by mistake is missed for an hour, or until it registers under another id.

Result: endpoint_notices::long_pause_respected failed before (chosen again after 60 s), passes after.

--- a/crates/direct/src/pauses.rs
+++ b/crates/direct/src/pauses.rs
@@ -3,8 +3,8 @@
 use conf::id;
 use tokio::time::Instant;
 
-/// Longest pause that an endpoint may ask for; a longer one is cut to it.
-const MAX_PAUSE: Duration = Duration::from_secs(60);
+/// Longest pause that an endpoint may ask for; a longer one is taken for a mistake and cut to it.
+const MAX_PAUSE: Duration = Duration::from_secs(3600);
 
 /// Tracks which endpoints have asked this entry to send nothing for some time.
 #[derive(Clone, Debug, Default)]
--- a/crates/direct/tests/suite/endpoint_notices.rs
+++ b/crates/direct/tests/suite/endpoint_notices.rs
@@ -79,6 +79,32 @@
     assert!(balancer.recent_departures(16, Instant::now()).is_empty());
 }
 
+/// Guards against a longer pause that is cut to a minute.
+#[tokio::test(start_paused = true)]
+async fn long_pause_respected() {
+    let (mut balancer, view, service) = (balancer(), view(1), "drafts".into());
+    let placement = balancer
+        .choose(&view, &attempt(&service), Instant::now())
+        .unwrap();
+    balancer.record_pause(&placement, Duration::from_secs(90), Instant::now());
+    balancer.record_outcome(&placement, Outcome::Declined, Instant::now());
+    for _ in 0..89 {
+        time::advance(Duration::from_secs(1)).await;
+        balancer.retain_known(&view, Instant::now());
+        assert!(
+            balancer
+                .choose(&view, &attempt(&service), Instant::now())
+                .is_err()
+        );
+    }
+    time::advance(Duration::from_secs(2)).await;
+    assert!(
+        balancer
+            .choose(&view, &attempt(&service), Instant::now())
+            .is_ok()
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn pause_respected() {
     let (mut balancer, view, service) = (balancer(), view(2), "drafts".into());
