Take an endpoint for cold after a lost connection

Cause: an entry knew a cold endpoint by its registration alone; broken and refused connections led to an ejection of 1 s to 4 s and were then forgotten. Evidence: 'endpoint is temporarily ejected', then 'sent ... cold=false'. Ruled out: the limit itself (it held where the registration was known), and the number of entries that share it.

Change: after a lost connection the endpoint may have restarted at any time until it answers a later request. It gets its cold share until one cold start after that answer, or until a later incarnation registers; entries tell each other of losses and of first answers (Restarts, design note). Health checks for Cold-Ms are not made: they are priced, and 300 entries would need the limit for them as well.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -29,7 +29,7 @@
 };
 use crate::{
     Blame, Bounds, Budget, Departures, Durations, Fingerprint, Health, Limits, Loads, Part, Pauses,
-    Stalls, budget, cold, departures::Incarnation, terms::Terms,
+    Restarts, Stalls, budget, cold, departures::Incarnation, terms::Terms,
 };
 
 /// Number of engines of a group that must run requests without progress for the group to count as
@@ -98,7 +98,7 @@
     pub requests: u32,
     /// Whether the endpoint is in another zone than the entry.
     pub other_zone: bool,
-    /// Whether the endpoint is cold, so that its request rate is limited.
+    /// Whether the endpoint is or may be cold, so that its request rate is limited.
     pub cold: bool,
     /// Requests per second that the endpoint states it takes from all entries, if it does.
     pub limit: Option<f64>,
@@ -161,6 +161,7 @@
     loads: Loads,
     health: Health,
     departures: Departures,
+    restarts: Restarts,
     pauses: Pauses,
     limits: Limits,
     admission: Admission,
@@ -209,6 +210,7 @@
             loads: Loads::default(),
             health: Health::default(),
             departures: Departures::default(),
+            restarts: Restarts::default(),
             pauses: Pauses::default(),
             limits: Limits::default(),
             admission: Admission::default(),
@@ -298,6 +300,7 @@
             .and_then(|c| c.services.get(attempt.service));
         let has_engine = service.is_some_and(|s| s.engine.is_some());
         let cold_rate = service.map_or(0.0, |s| s.cold_rate);
+        let cold_time = service.map_or(Duration::ZERO, |s| s.cold_time);
         let entries = self.assumed_entry_count(now);
         let sharing_entries = self.sharing_entry_count(now);
         let mut partitions = Partitions::default();
@@ -356,8 +359,10 @@
                 continue;
             }
             let cold = known.cold_until > now && cold_rate > 0.0;
+            let may_be_cold =
+                cold_rate > 0.0 && self.restarts.may_be_cold(id, incarnation, cold_time, now);
             let rate_limit = cold_rate * self.bounds.cold_overshoot + self.bounds.cold_slack;
-            if cold && !self.cold.allows(id, rate_limit, entries, now) {
+            if (cold || may_be_cold) && !self.cold.allows(id, rate_limit, entries, now) {
                 obstacles.kind = obstacles.kind.or(Some(ErrorKind::Cold));
                 continue;
             }
@@ -367,6 +372,8 @@
             }
             let mut candidate = self.score(attempt, (id, known), load, cold, now);
             candidate.limit = limit;
+            // One that only may be cold is as good as any other, within the limit.
+            candidate.cold |= may_be_cold;
             if !has_engine && candidate.fitness != Fitness::Impaired {
                 let (service, requests) = (attempt.service, load.requests);
                 let time = self.latency.predict(service, id, requests, slots, now);
--- a/crates/direct/src/balancer/exchange.rs
+++ b/crates/direct/src/balancer/exchange.rs
@@ -7,7 +7,8 @@
 
 use super::{Balancer, CONTACT_TIME, DISCOVERY_TIME, ENTRY_MEMORY};
 use crate::{
-    Fingerprint, Limits, Load, News, Part, departures::Incarnation, limits, window::STARTUP_ENTRIES,
+    Fingerprint, Limits, Load, Loss, News, Part, departures::Incarnation, limits,
+    window::STARTUP_ENTRIES,
 };
 
 /// # Groups
@@ -125,6 +126,17 @@
         self.departures.record(endpoint, incarnation, now)
     }
 
+    /// Returns which endpoints were lost lately, for other entries.
+    #[must_use]
+    pub fn loss_news(&self, now: Instant) -> Vec<Loss> {
+        self.restarts.news(now)
+    }
+
+    /// Applies what another entry tells of lost endpoints.
+    pub fn merge_losses(&mut self, losses: &[Loss], now: Instant) {
+        self.restarts.merge(losses, now);
+    }
+
     /// Lists this entry's own load on each endpoint that has any.
     #[must_use]
     pub fn local_loads(&self) -> Vec<(id::Endpoint, Load)> {
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use conf::id;
-use fleet::{Registration, View};
+use fleet::{Endpoint, Registration, View};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -15,6 +15,7 @@
     /// Records that part of a response was received.
     pub fn record_progress(&mut self, placement: &Placement, now: Instant) {
         self.loads.record_progress(&placement.endpoint, now);
+        self.record_answer(placement, now);
     }
 
     /// Records that a response has started, so that its prompt is no longer pending.
@@ -39,6 +40,9 @@
     ) -> bool {
         let id = &placement.endpoint;
         self.loads.record_end(id);
+        if let Outcome::Whole | Outcome::Failed | Outcome::Declined = outcome {
+            self.record_answer(placement, now);
+        }
         match outcome {
             Outcome::Whole => {
                 let duration = now.duration_since(placement.chosen_at);
@@ -55,6 +59,7 @@
                 return true;
             }
             Outcome::Unreached => {
+                self.restarts.record_loss(id, placement.incarnation, now);
                 self.blame.record_end(id, placement.incarnation, now);
                 return self.health.record_connection_failure(id, now);
             }
@@ -67,6 +72,17 @@
         false
     }
 
+    /// Records that an endpoint has answered, at least in part.
+    fn record_answer(&mut self, placement: &Placement, now: Instant) {
+        self.restarts
+            .record_answer(&placement.endpoint, placement.chosen_at, now);
+    }
+
+    /// Returns the endpoints that may have restarted, as was found since the last call.
+    pub fn take_restarts(&mut self) -> Vec<id::Endpoint> {
+        self.restarts.take_found()
+    }
+
     /// Records how long a request of a route took, from its arrival to the end of the answer.
     pub fn record_duration(&mut self, route: &SmolStr, duration: Duration, now: Instant) {
         self.durations.record(route, duration, now);
@@ -122,6 +138,7 @@
             incarnation,
             ..
         } = placement;
+        self.restarts.record_loss(endpoint, *incarnation, now);
         self.suspects
             .record_break(endpoint, *incarnation, &[fingerprint], is_repeat, now);
         self.blame
@@ -176,9 +193,22 @@
     /// Removes the state of endpoints and services that are not in `view`.
     pub fn retain_known(&mut self, view: &View, now: Instant) {
         let known = |id: &id::Endpoint| view.endpoints.contains_key(id);
+        let services = view.configuration.as_ref().map(|c| &c.services);
+        let cold_times = services.into_iter().flatten().map(|(_, s)| s.cold_time);
+        let longest = cold_times.max().unwrap_or_default();
+        self.restarts.retain(known, longest, now);
+        let restarts = &self.restarts;
         let is_cold = |id: &id::Endpoint| {
-            let registration = view.endpoints.get(id);
-            registration.is_some_and(|registration| registration.cold_until > now)
+            view.endpoints.get(id).is_some_and(|known| {
+                let Endpoint {
+                    service,
+                    started_ms,
+                    ..
+                } = &*known.endpoint;
+                let service = services.and_then(|services| services.get(service));
+                let cold_time = service.map_or(Duration::ZERO, |s| s.cold_time);
+                known.cold_until > now || restarts.may_be_cold(id, *started_ms, cold_time, now)
+            })
         };
         for (id, incarnation) in self.blame.doubtful_endpoints() {
             let registration = view.endpoints.get(&id);
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -18,7 +18,7 @@
 use wire::Watcher;
 
 use crate::{
-    Balancer, Fingerprint, Incarnation, Load, News, Part, Settings, Verdict, call::Context,
+    Balancer, Fingerprint, Incarnation, Load, Loss, News, Part, Settings, Verdict, call::Context,
     dispatch::log_limit, limits, sync, ticks::Ticks, watching::Watching,
 };
 
@@ -105,6 +105,9 @@
     #[serde(default)]
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     news_age: Option<Duration>,
+    /// Endpoints that may have restarted.
+    #[serde(default)]
+    losses: Vec<Loss>,
 }
 
 /// Message that hands credit for endpoints with limits to its receiver.
@@ -221,6 +224,7 @@
             lock(&self.ticks).record(now);
             self.remove_lost(now);
             self.log_verdicts();
+            self.log_restarts();
             self.adopt_news_age();
             let loads = self
                 .context
@@ -333,6 +337,9 @@
                 .with_balancer(|balancer| balancer.limit_news(MAX_LIMITS, now)),
             entries: lock(&self.members).len() + 1,
             news_age: self.watching.news_age(),
+            losses: self
+                .context
+                .with_balancer(|balancer| balancer.loss_news(now)),
         };
         let (near, far) = self.split_by_zone(targets);
         self.send_to(&message, &far).await;
@@ -440,6 +447,7 @@
         if message.process == self.process {
             return;
         }
+        let is_recent = lock(&self.ticks).are_messages_recent(now);
         let member = Member {
             process: message.process.clone(),
             sync_address: message.sync_address,
@@ -449,7 +457,7 @@
             last_message: now,
             current_at: message
                 .news_age
-                .filter(|_| lock(&self.ticks).are_messages_recent(now))
+                .filter(|_| is_recent)
                 .and_then(|age| now.checked_sub(age)),
         };
         let known = lock(&self.members).insert(from, member).is_some();
@@ -473,6 +481,9 @@
             }
             balancer.merge_request_news(&message.suspects, now);
             balancer.merge_part_news(&message.parts, now);
+            if is_recent {
+                balancer.merge_losses(&message.losses, now);
+            }
             for (endpoint, incarnation) in message.leaving {
                 if balancer.record_reported_departure(&endpoint, incarnation, now) {
                     log::info!(endpoint:% = endpoint, peer:% = message.process; "endpoint is leaving");
@@ -520,6 +531,15 @@
         }
     }
 
+    /// Logs which endpoints may have restarted, since the last call.
+    fn log_restarts(&self) {
+        let restarts = self.context.with_balancer(Balancer::take_restarts);
+        for endpoint in restarts {
+            log::info!(endpoint:% = endpoint; "endpoint may have restarted; taken for cold");
+            self.context.metrics.restarts.inc();
+        }
+    }
+
     fn remove_lost(&self, now: Instant) {
         let mut lost = Vec::new();
         lock(&self.members).retain(|_, member| {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) retries: IntCounterVec,
     /// Changes of which requests are refused because endpoints crash under them, by verdict.
     pub(crate) suspects: IntCounterVec,
+    /// Endpoints that may have restarted, and are taken for cold.
+    pub(crate) restarts: IntCounter,
     /// Attempts at endpoints in other zones.
     pub(crate) other_zone_sends: IntCounter,
     /// Highest share of the requests that leaves the zone, over the services.
@@ -90,7 +92,13 @@
             "Highest share of a service's requests that leaves the zone, 0 to 1.",
         )?;
         registry.register(Box::new(other_zone_share.clone()))?;
+        let restarts = IntCounter::new(
+            "apricot_direct_presumed_restarts_total",
+            "Endpoints taken for cold after a lost connection.",
+        )?;
+        registry.register(Box::new(restarts.clone()))?;
         Ok(Self {
+            restarts,
             other_zone_sends,
             other_zone_share,
             requests: counter(
--- /dev/null
+++ b/crates/direct/src/restarts.rs
@@ -0,0 +1,164 @@
+use std::{collections::HashMap, time::Duration};
+
+use conf::id;
+use rand::seq::IteratorRandom as _;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::time::Instant;
+
+use crate::departures::Incarnation;
+
+/// Time after the first answer for which a loss is told to other entries, longer than usual cold starts: entries that
+/// start meanwhile learn of it. A loss without an answer is told for as long as the endpoint is registered.
+const REPORT_SPAN: Duration = Duration::from_secs(5);
+/// Largest difference between what two entries know of the same loss: the ages that they tell do not include the time
+/// on the way.
+const REPORT_TOLERANCE: Duration = Duration::from_millis(300);
+/// Maximum number of losses in one message, so that it fits into one packet.
+const MAX_NEWS: usize = 4;
+/// Maximum number of endpoints that are remembered.
+const MAX_RECORDS: usize = 4096;
+
+/// Loss of an endpoint, for other entries.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Loss {
+    /// Endpoint to which a connection was lost, or could not be set up.
+    pub endpoint: id::Endpoint,
+    /// Incarnation that was registered then.
+    pub incarnation: Incarnation,
+    /// Time since the loss.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+    /// Time since the first answer to a request that was sent after the loss, if there was one.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub answer_age: Option<Duration>,
+}
+
+/// Finds endpoints that may be back from a restart, and so in a cold start, although they are registered as before.
+///
+/// The store tells of a restart under the same id late, and not at all while it is down. After a lost connection, an
+/// endpoint may have restarted at any time until it answers a later request; it is taken for cold until then, and for
+/// its cold start from then on. A registration of a later incarnation ends this: it states how long the endpoint is cold.
+#[derive(Clone, Debug, Default)]
+pub struct Restarts {
+    endpoints: HashMap<id::Endpoint, Record>,
+    /// Endpoints that may have restarted, for the log.
+    found: Vec<id::Endpoint>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    incarnation: Incarnation,
+    lost_at: Instant,
+    /// Time of the first answer to a request that was sent after the loss.
+    answered_at: Option<Instant>,
+}
+
+impl Restarts {
+    /// Returns whether an incarnation of an endpoint may have restarted, with a cold start of `cold_time`.
+    #[must_use]
+    pub fn may_be_cold(
+        &self,
+        endpoint: &str,
+        incarnation: Incarnation,
+        cold_time: Duration,
+        now: Instant,
+    ) -> bool {
+        let record = self.endpoints.get(endpoint);
+        record
+            .filter(|record| record.incarnation == incarnation)
+            .is_some_and(|record| record.answered_at.is_none_or(|at| now < at + cold_time))
+    }
+
+    /// Records that a connection to an endpoint was lost or could not be set up.
+    pub fn record_loss(&mut self, endpoint: &id::Endpoint, incarnation: Incarnation, now: Instant) {
+        if !self.may_be_cold(endpoint, incarnation, Duration::ZERO, now) {
+            self.found.push(endpoint.clone());
+        }
+        if self.endpoints.len() < MAX_RECORDS || self.endpoints.contains_key(endpoint) {
+            let record = Record {
+                incarnation,
+                lost_at: now,
+                answered_at: None,
+            };
+            self.endpoints.insert(endpoint.clone(), record);
+        }
+    }
+
+    /// Returns the endpoints that may have restarted, as was found since the last call.
+    pub fn take_found(&mut self) -> Vec<id::Endpoint> {
+        std::mem::take(&mut self.found)
+    }
+
+    /// Records that an endpoint answered a request that was sent at `sent_at`.
+    pub fn record_answer(&mut self, endpoint: &str, sent_at: Instant, now: Instant) {
+        if let Some(record) = self.endpoints.get_mut(endpoint)
+            && sent_at > record.lost_at
+        {
+            record.answered_at.get_or_insert(now);
+        }
+    }
+
+    /// Removes endpoints that are not `known`, and those that answered longer ago than the longest cold start.
+    pub fn retain(
+        &mut self,
+        known: impl Fn(&id::Endpoint) -> bool,
+        longest: Duration,
+        now: Instant,
+    ) {
+        let is_over = |at: Instant| now.duration_since(at) >= longest.max(REPORT_SPAN);
+        self.endpoints
+            .retain(|endpoint, record| known(endpoint) && !record.answered_at.is_some_and(is_over));
+    }
+}
+
+/// # Other entries
+impl Restarts {
+    /// Returns the losses that still count, a sample if they are many.
+    #[must_use]
+    pub fn news(&self, now: Instant) -> Vec<Loss> {
+        let losses = self.endpoints.iter().filter_map(|(endpoint, record)| {
+            let answer_age = record.answered_at.map(|at| now.duration_since(at));
+            let is_told = answer_age.is_none_or(|age| age < REPORT_SPAN);
+            is_told.then(|| Loss {
+                endpoint: endpoint.clone(),
+                incarnation: record.incarnation,
+                age: now.duration_since(record.lost_at),
+                answer_age,
+            })
+        });
+        losses.sample(&mut rand::rng(), MAX_NEWS)
+    }
+
+    /// Applies what another entry tells of lost endpoints.
+    pub fn merge(&mut self, losses: &[Loss], now: Instant) {
+        for loss in losses {
+            let lost_at = now.checked_sub(loss.age).unwrap_or(now);
+            let known = self.endpoints.get(&loss.endpoint);
+            let is_known = known.is_some_and(|record| {
+                record.incarnation == loss.incarnation
+                    && record.lost_at + REPORT_TOLERANCE >= lost_at
+            });
+            let counts = loss.answer_age.is_none_or(|age| age < REPORT_SPAN);
+            if counts && !is_known {
+                self.record_loss(&loss.endpoint, loss.incarnation, lost_at);
+            }
+            if let Some(age) = loss.answer_age {
+                let answered_at = now.checked_sub(age).unwrap_or(now);
+                self.merge_answer(loss, answered_at);
+            }
+        }
+    }
+
+    /// Applies the first answer after a loss to another entry, if it also came after the loss that is known here.
+    fn merge_answer(&mut self, loss: &Loss, answered_at: Instant) {
+        if let Some(record) = self.endpoints.get_mut(&loss.endpoint)
+            && record.incarnation == loss.incarnation
+            && answered_at > record.lost_at + REPORT_TOLERANCE
+        {
+            let earliest = record.answered_at.unwrap_or(answered_at).min(answered_at);
+            record.answered_at = Some(earliest);
+        }
+    }
+}
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod balancer_choice;
 mod cold_rate;
+mod cold_restarts;
 mod crash_suspects;
 mod demand_rationing;
 mod end_to_end;
