Take an answer on an older connection as proof that an endpoint did not restart

Cause: a group that has lost one engine cuts the streams of all others after its stall time.

Change: an answer on a connection that was set up before the loss shows that the process has survived it; entries tell each other.

--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -8,14 +8,13 @@
 use tokio::time::Instant;
 
 use super::{Balancer, Outcome, Placement};
-use crate::{Fingerprint, Part, Verdict, limits, metadata::Limit};
+use crate::{Answer, Fingerprint, Part, Verdict, limits, metadata::Limit};
 
 /// # Outcomes of attempts
 impl Balancer {
     /// Records that part of a response was received.
     pub fn record_progress(&mut self, placement: &Placement, now: Instant) {
         self.loads.record_progress(&placement.endpoint, now);
-        self.record_answer(placement, now);
     }
 
     /// Records that a response has started, so that its prompt is no longer pending.
@@ -40,9 +39,6 @@
     ) -> bool {
         let id = &placement.endpoint;
         self.loads.record_end(id);
-        if let Outcome::Whole | Outcome::Failed | Outcome::Declined = outcome {
-            self.record_answer(placement, now);
-        }
         match outcome {
             Outcome::Whole => {
                 let duration = now.duration_since(placement.chosen_at);
@@ -72,10 +68,14 @@
         false
     }
 
-    /// Records that an endpoint has answered, at least in part.
-    fn record_answer(&mut self, placement: &Placement, now: Instant) {
-        self.restarts
-            .record_answer(&placement.endpoint, placement.chosen_at, now);
+    /// Records that an endpoint has begun to answer, on a connection that was set up at `opened_at`.
+    pub fn record_answer(&mut self, placement: &Placement, opened_at: Instant, now: Instant) {
+        let answer = Answer {
+            opened_at,
+            sent_at: placement.chosen_at,
+            at: now,
+        };
+        self.restarts.record_answer(&placement.endpoint, answer);
     }
 
     /// Returns the endpoints that may have restarted, as was found since the last call.
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -444,6 +444,9 @@
             dispatch.end(Outcome::Dropped);
             return Disposition::Unknown(SmolStr::new_static("answer to another request"));
         }
+        if !metadata.misdirected {
+            dispatch.record_answer(&connection);
+        }
         if metadata.not_run || metadata.misdirected {
             return self
                 .handle_declined(dispatch, &head, &metadata, body, connection)
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -144,6 +144,13 @@
         }
     }
 
+    /// Records that the endpoint has answered on a connection.
+    pub(crate) fn record_answer(&self, connection: &Connection) {
+        let (opened_at, now) = (connection.opened_at(), Instant::now());
+        self.context
+            .with_balancer(|balancer| balancer.record_answer(&self.placement, opened_at, now));
+    }
+
     /// Records what the endpoint states about itself in the head of a response.
     pub(crate) fn record_notices(&self, metadata: &metadata::Response) {
         // Another endpoint at the same address speaks of itself only.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -55,7 +55,7 @@
 pub use load::{Load, Loads};
 pub use pauses::Pauses;
 pub use protocol::Protocol;
-pub use restarts::{Loss, Restarts};
+pub use restarts::{Answer, Loss, Restarts};
 pub use run::run;
 pub use settings::{Bounds, Listen, Settings};
 pub use stalls::Stalls;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -57,6 +57,7 @@
     _driver: AbortOnDropHandle<()>,
     endpoint: id::Endpoint,
     address: SocketAddr,
+    opened_at: Instant,
     /// Time until which the idle connection may be reused.
     reusable_until: Instant,
 }
@@ -71,6 +72,13 @@
     pub(crate) is_new: bool,
 }
 
+impl Connection {
+    /// Returns the time at which the connection was set up.
+    pub(crate) const fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+}
+
 impl Pool {
     /// Sends a request and waits for the head of the response.
     ///
@@ -200,6 +208,7 @@
         _driver: AbortOnDropHandle::new(driver),
         endpoint: endpoint.clone(),
         address,
+        opened_at: Instant::now(),
         reusable_until: Instant::now(),
     })
 }
--- a/crates/direct/src/restarts.rs
+++ b/crates/direct/src/restarts.rs
@@ -33,13 +33,28 @@
     /// Time since the first answer to a request that was sent after the loss, if there was one.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub answer_age: Option<Duration>,
+    /// Age of the connection of an answer after the loss, if it was set up before the loss.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub connection_age: Option<Duration>,
+}
+
+/// Answer of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Time at which its connection was set up.
+    pub opened_at: Instant,
+    /// Time at which its request was sent.
+    pub sent_at: Instant,
+    /// Time at which it came in.
+    pub at: Instant,
 }
 
 /// Finds endpoints that may be back from a restart, and so in a cold start, although they are registered as before.
 ///
 /// The store tells of a restart under the same id late, and not at all while it is down. After a lost connection, an
 /// endpoint may have restarted at any time until it answers a later request; it is taken for cold until then, and for
-/// its cold start from then on. A registration of a later incarnation ends this: it states how long the endpoint is cold.
+/// its cold start from then on. Two things end this sooner: a registration of a later incarnation, which states how long the endpoint
+/// is cold, and an answer on a connection that is older than the loss, which the endpoint has thus survived.
 #[derive(Clone, Debug, Default)]
 pub struct Restarts {
     endpoints: HashMap<id::Endpoint, Record>,
@@ -53,6 +68,15 @@
     lost_at: Instant,
     /// Time of the first answer to a request that was sent after the loss.
     answered_at: Option<Instant>,
+    /// Time at which a connection was set up that has outlived the loss.
+    opened_at: Option<Instant>,
+}
+
+impl Record {
+    /// Returns whether the endpoint may have restarted, with a cold start of `cold_time`.
+    fn may_be_cold(&self, cold_time: Duration, now: Instant) -> bool {
+        self.opened_at.is_none() && self.answered_at.is_none_or(|at| now < at + cold_time)
+    }
 }
 
 impl Restarts {
@@ -66,9 +90,9 @@
         now: Instant,
     ) -> bool {
         let record = self.endpoints.get(endpoint);
-        record
-            .filter(|record| record.incarnation == incarnation)
-            .is_some_and(|record| record.answered_at.is_none_or(|at| now < at + cold_time))
+        record.is_some_and(|record| {
+            record.incarnation == incarnation && record.may_be_cold(cold_time, now)
+        })
     }
 
     /// Records that a connection to an endpoint was lost or could not be set up.
@@ -81,6 +105,7 @@
                 incarnation,
                 lost_at: now,
                 answered_at: None,
+                opened_at: None,
             };
             self.endpoints.insert(endpoint.clone(), record);
         }
@@ -91,12 +116,16 @@
         std::mem::take(&mut self.found)
     }
 
-    /// Records that an endpoint answered a request that was sent at `sent_at`.
-    pub fn record_answer(&mut self, endpoint: &str, sent_at: Instant, now: Instant) {
-        if let Some(record) = self.endpoints.get_mut(endpoint)
-            && sent_at > record.lost_at
-        {
-            record.answered_at.get_or_insert(now);
+    /// Records an answer of an endpoint.
+    pub fn record_answer(&mut self, endpoint: &str, answer: Answer) {
+        let Some(record) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if answer.sent_at > record.lost_at {
+            record.answered_at.get_or_insert(answer.at);
+            if answer.opened_at < record.lost_at {
+                record.opened_at = Some(answer.opened_at);
+            }
         }
     }
 
@@ -115,7 +144,7 @@
 
 /// # Other entries
 impl Restarts {
-    /// Returns the losses that still count, a sample if they are many.
+    /// Returns the losses that still count, and those that lately turned out not to, a sample if they are many.
     #[must_use]
     pub fn news(&self, now: Instant) -> Vec<Loss> {
         let losses = self.endpoints.iter().filter_map(|(endpoint, record)| {
@@ -126,6 +155,7 @@
                 incarnation: record.incarnation,
                 age: now.duration_since(record.lost_at),
                 answer_age,
+                connection_age: record.opened_at.map(|at| now.duration_since(at)),
             })
         });
         losses.sample(&mut rand::rng(), MAX_NEWS)
@@ -144,21 +174,29 @@
             if counts && !is_known {
                 self.record_loss(&loss.endpoint, loss.incarnation, lost_at);
             }
-            if let Some(age) = loss.answer_age {
-                let answered_at = now.checked_sub(age).unwrap_or(now);
-                self.merge_answer(loss, answered_at);
-            }
+            self.merge_answer(loss, now);
         }
     }
 
-    /// Applies the first answer after a loss to another entry, if it also came after the loss that is known here.
-    fn merge_answer(&mut self, loss: &Loss, answered_at: Instant) {
-        if let Some(record) = self.endpoints.get_mut(&loss.endpoint)
-            && record.incarnation == loss.incarnation
-            && answered_at > record.lost_at + REPORT_TOLERANCE
+    /// Applies the answer to another entry after a loss, if it also came after the loss that is known here.
+    fn merge_answer(&mut self, loss: &Loss, now: Instant) {
+        let at = |age: Option<Duration>| Some(now.checked_sub(age?).unwrap_or(now));
+        let Some(answered_at) = at(loss.answer_age) else {
+            return;
+        };
+        let Some(record) = self.endpoints.get_mut(&loss.endpoint) else {
+            return;
+        };
+        if record.incarnation != loss.incarnation
+            || answered_at <= record.lost_at + REPORT_TOLERANCE
         {
-            let earliest = record.answered_at.unwrap_or(answered_at).min(answered_at);
-            record.answered_at = Some(earliest);
+            return;
+        }
+        let earliest = record.answered_at.unwrap_or(answered_at).min(answered_at);
+        record.answered_at = Some(earliest);
+        let opened_at = at(loss.connection_age);
+        if let Some(opened_at) = opened_at.filter(|at| *at + REPORT_TOLERANCE < record.lost_at) {
+            record.opened_at = Some(opened_at);
         }
     }
 }
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -123,6 +123,9 @@
                 dispatch.record_notices(&metadata);
                 dispatch.record_limit(&self.request.id, &metadata);
                 let is_own = metadata.belongs_to(&self.request.id, received.is_new);
+                if is_own && !metadata.misdirected {
+                    dispatch.record_answer(&received.connection);
+                }
                 if is_own && metadata.signed && !metadata.encoded && head.status.is_success() {
                     self.possible_runs += 1;
                     return Some(Upstream::new(
--- a/crates/direct/tests/suite/cold_restarts.rs
+++ b/crates/direct/tests/suite/cold_restarts.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use direct::{Balancer, Bounds, Outcome, Placement, Restarts};
+use direct::{Answer, Balancer, Bounds, Outcome, Placement, Restarts};
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::IteratorRandom as _};
 use tokio::time::{self, Instant};
 
@@ -54,7 +54,7 @@
                 fleet[entry].record_break(&placement, random.random(), &[], false, now);
                 fleet[entry].record_outcome(&placement, Outcome::Broke, now);
             } else {
-                fleet[entry].record_progress(&placement, now);
+                fleet[entry].record_answer(&placement, placement.chosen_at, now);
                 fleet[entry].record_outcome(&placement, Outcome::Whole, now);
             }
         }
@@ -111,6 +111,15 @@
     }
 }
 
+/// Returns an answer that comes in now.
+fn answer(opened_at: Instant, sent_at: Instant) -> Answer {
+    Answer {
+        opened_at,
+        sent_at,
+        at: Instant::now(),
+    }
+}
+
 /// Guards against an endpoint that stays limited after it has answered for as long as it may be cold.
 #[tokio::test(start_paused = true)]
 async fn presumption_ends() {
@@ -127,12 +136,12 @@
     assert!(!is_cold(&restarts, 2));
     // An answer to a request that was sent before the loss says nothing.
     time::advance(STEP).await;
-    restarts.record_answer(&id, sent_before, Instant::now());
+    restarts.record_answer(&id, answer(sent_before, sent_before));
     time::advance(COLD_TIME * 2).await;
     assert!(is_cold(&restarts, 1));
     let sent = Instant::now();
     time::advance(STEP).await;
-    restarts.record_answer(&id, sent, Instant::now());
+    restarts.record_answer(&id, answer(sent, sent));
     time::advance(COLD_TIME - STEP).await;
     assert!(is_cold(&restarts, 1));
     time::advance(STEP).await;
@@ -149,7 +158,7 @@
     let mut second = Restarts::default();
     second.merge(&first.news(Instant::now()), Instant::now());
     assert!(second.may_be_cold(&id, 1, COLD_TIME, Instant::now()));
-    first.record_answer(&id, Instant::now(), Instant::now());
+    first.record_answer(&id, answer(Instant::now(), Instant::now()));
     let (answered, mut last_told) = (Instant::now(), Duration::ZERO);
     for _ in 0..200 {
         time::advance(Duration::from_millis(100)).await;
@@ -173,3 +182,36 @@
     assert!(last_told < Duration::from_secs(6), "{last_told:?}");
     assert_eq!(second.take_found().len(), 1);
 }
+
+/// Load pattern: one engine of a group ends, and the streams of all others are cut once they have stalled. Guards against
+/// limiting these for a cold start, here and at another entry.
+#[tokio::test(start_paused = true)]
+async fn survivors_not_limited() {
+    let (id, mut first, mut second) = (
+        conf::id::Endpoint::from("e0"),
+        Restarts::default(),
+        Restarts::default(),
+    );
+    let opened = Instant::now();
+    time::advance(Duration::from_secs(1)).await;
+    let later = Instant::now();
+    first.record_loss(&id, 1, Instant::now());
+    second.record_loss(&id, 1, Instant::now());
+    let may_be_cold = |known: &Restarts| known.may_be_cold(&id, 1, COLD_TIME, Instant::now());
+    time::advance(Duration::from_secs(1)).await;
+    // A connection that was set up after the loss proves nothing.
+    first.record_answer(&id, answer(later + STEP, Instant::now()));
+    assert!(may_be_cold(&first));
+    first.record_answer(&id, answer(opened, Instant::now()));
+    assert!(!may_be_cold(&first));
+    second.merge(&first.news(Instant::now()), Instant::now());
+    assert!(!may_be_cold(&second));
+    // What others still tell of the loss changes nothing, a new loss does.
+    let mut third = Restarts::default();
+    third.record_loss(&id, 1, later);
+    second.merge(&third.news(Instant::now()), Instant::now());
+    assert!(!may_be_cold(&second));
+    second.record_loss(&id, 1, Instant::now());
+    second.merge(&first.news(Instant::now()), Instant::now());
+    assert!(may_be_cold(&second));
+}
