Ask more of a connection that shows an endpoint's survival

A connection that was set up in between was older than the noticed loss, and its answer ended the presumption although the endpoint was cold.

Change: the connection must have been set up before the request of the lost one was sent, where the endpoint had begun to answer it or could not be reached; else 10 s before (the longest idle time of a kept connection).

--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -55,7 +55,7 @@
                 return true;
             }
             Outcome::Unreached => {
-                self.restarts.record_loss(id, placement.incarnation, now);
+                self.record_lost_connection(placement, placement.chosen_at, now);
                 self.blame.record_end(id, placement.incarnation, now);
                 return self.health.record_connection_failure(id, now);
             }
@@ -78,6 +78,23 @@
         self.restarts.record_answer(&placement.endpoint, answer);
     }
 
+    /// Records that the connection of an attempt was lost, or could not be set up; the endpoint was certainly in its
+    /// earlier run at `alive_at`.
+    pub fn record_lost_connection(
+        &mut self,
+        placement: &Placement,
+        alive_at: Instant,
+        now: Instant,
+    ) {
+        let Placement {
+            endpoint,
+            incarnation,
+            ..
+        } = placement;
+        self.restarts
+            .record_loss(endpoint, *incarnation, alive_at, now);
+    }
+
     /// Returns the endpoints that may have restarted, as was found since the last call.
     pub fn take_restarts(&mut self) -> Vec<id::Endpoint> {
         self.restarts.take_found()
@@ -138,7 +155,6 @@
             incarnation,
             ..
         } = placement;
-        self.restarts.record_loss(endpoint, *incarnation, now);
         self.suspects
             .record_break(endpoint, *incarnation, &[fingerprint], is_repeat, now);
         self.blame
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -423,7 +423,7 @@
     }
 
     /// Checks the head of an endpoint's response and handles the response accordingly.
-    async fn handle_response(&mut self, dispatch: Dispatch, received: Received) -> Disposition {
+    async fn handle_response(&mut self, mut dispatch: Dispatch, received: Received) -> Disposition {
         let Received {
             response,
             connection,
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -9,7 +9,7 @@
     call::{Context, millis},
     limits::Change,
     metadata,
-    pool::Connection,
+    pool::{Connection, MAX_IDLE_TIMEOUT},
 };
 
 /// Logs how an attempt ended and counts it in the metrics.
@@ -87,6 +87,8 @@
 pub(crate) struct Dispatch {
     context: Arc<Context>,
     pub(crate) placement: Placement,
+    /// Whether the endpoint has begun to answer.
+    answered: bool,
     started: bool,
     ended: bool,
 }
@@ -99,6 +101,7 @@
         Self {
             context,
             placement,
+            answered: false,
             started: false,
             ended: false,
         }
@@ -145,7 +148,8 @@
     }
 
     /// Records that the endpoint has answered on a connection.
-    pub(crate) fn record_answer(&self, connection: &Connection) {
+    pub(crate) fn record_answer(&mut self, connection: &Connection) {
+        self.answered = true;
         let (opened_at, now) = (connection.opened_at(), Instant::now());
         self.context
             .with_balancer(|balancer| balancer.record_answer(&self.placement, opened_at, now));
@@ -210,7 +214,14 @@
             "connection broke during a run"
         );
         let (parts, now) = (&request.shared_parts, Instant::now());
+        // A kept connection may have been lost since its last use.
+        let sent_at = self.placement.chosen_at;
+        let alive_at = match self.answered {
+            true => sent_at,
+            false => sent_at.checked_sub(MAX_IDLE_TIMEOUT).unwrap_or(sent_at),
+        };
         self.context.with_balancer(|balancer| {
+            balancer.record_lost_connection(&self.placement, alive_at, now);
             balancer.record_break(&self.placement, fingerprint, parts, is_repeat, now);
         });
     }
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -26,7 +26,7 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time for which an idle connection may be reused, whatever the endpoint states; connections
 /// that were idle for longer have often stopped responding without being closed.
-const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time by which a connection is discarded before the endpoint closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 /// Largest head of a response in bytes; a connection with a larger one is closed.
--- a/crates/direct/src/restarts.rs
+++ b/crates/direct/src/restarts.rs
@@ -30,10 +30,13 @@
     /// Time since the loss.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// Time since the endpoint was certainly in the run that may have ended.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub alive_age: Duration,
     /// Time since the first answer to a request that was sent after the loss, if there was one.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub answer_age: Option<Duration>,
-    /// Age of the connection of an answer after the loss, if it was set up before the loss.
+    /// Age of the connection of an answer after the loss, if it shows that the endpoint has survived.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub connection_age: Option<Duration>,
 }
@@ -53,8 +56,9 @@
 ///
 /// The store tells of a restart under the same id late, and not at all while it is down. After a lost connection, an
 /// endpoint may have restarted at any time until it answers a later request; it is taken for cold until then, and for
-/// its cold start from then on. Two things end this sooner: a registration of a later incarnation, which states how long the endpoint
-/// is cold, and an answer on a connection that is older than the loss, which the endpoint has thus survived.
+/// its cold start from then on. Two things end this sooner: a registration of a later incarnation, which states how long
+/// the endpoint is cold, and an answer on a connection that was set up while the endpoint was certainly in its earlier
+/// run, which has thus survived.
 #[derive(Clone, Debug, Default)]
 pub struct Restarts {
     endpoints: HashMap<id::Endpoint, Record>,
@@ -65,6 +69,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Record {
     incarnation: Incarnation,
+    /// Time at which the endpoint was certainly in the run that may have ended.
+    alive_at: Instant,
     lost_at: Instant,
     /// Time of the first answer to a request that was sent after the loss.
     answered_at: Option<Instant>,
@@ -95,14 +101,26 @@
         })
     }
 
-    /// Records that a connection to an endpoint was lost or could not be set up.
-    pub fn record_loss(&mut self, endpoint: &id::Endpoint, incarnation: Incarnation, now: Instant) {
+    /// Records that a connection to an endpoint was lost or could not be set up; the endpoint was certainly in its earlier
+    /// run at `alive_at`.
+    pub fn record_loss(
+        &mut self,
+        endpoint: &id::Endpoint,
+        incarnation: Incarnation,
+        alive_at: Instant,
+        now: Instant,
+    ) {
+        // A second loss may tell of the same end.
+        let known = self.endpoints.get(endpoint);
+        let open = known.filter(|k| k.incarnation == incarnation && k.answered_at.is_none());
+        let alive_at = open.map_or(alive_at, |known| known.alive_at.min(alive_at));
         if !self.may_be_cold(endpoint, incarnation, Duration::ZERO, now) {
             self.found.push(endpoint.clone());
         }
         if self.endpoints.len() < MAX_RECORDS || self.endpoints.contains_key(endpoint) {
             let record = Record {
                 incarnation,
+                alive_at,
                 lost_at: now,
                 answered_at: None,
                 opened_at: None,
@@ -123,7 +141,7 @@
         };
         if answer.sent_at > record.lost_at {
             record.answered_at.get_or_insert(answer.at);
-            if answer.opened_at < record.lost_at {
+            if answer.opened_at < record.alive_at {
                 record.opened_at = Some(answer.opened_at);
             }
         }
@@ -154,6 +172,7 @@
                 endpoint: endpoint.clone(),
                 incarnation: record.incarnation,
                 age: now.duration_since(record.lost_at),
+                alive_age: now.duration_since(record.alive_at),
                 answer_age,
                 connection_age: record.opened_at.map(|at| now.duration_since(at)),
             })
@@ -172,7 +191,8 @@
             });
             let counts = loss.answer_age.is_none_or(|age| age < REPORT_SPAN);
             if counts && !is_known {
-                self.record_loss(&loss.endpoint, loss.incarnation, lost_at);
+                let alive_at = now.checked_sub(loss.alive_age).unwrap_or(now);
+                self.record_loss(&loss.endpoint, loss.incarnation, alive_at, lost_at);
             }
             self.merge_answer(loss, now);
         }
@@ -195,7 +215,7 @@
         let earliest = record.answered_at.unwrap_or(answered_at).min(answered_at);
         record.answered_at = Some(earliest);
         let opened_at = at(loss.connection_age);
-        if let Some(opened_at) = opened_at.filter(|at| *at + REPORT_TOLERANCE < record.lost_at) {
+        if let Some(opened_at) = opened_at.filter(|at| *at + REPORT_TOLERANCE < record.alive_at) {
             record.opened_at = Some(opened_at);
         }
     }
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -86,7 +86,7 @@
         last_id: Option<u64>,
         time_left: Duration,
     ) -> Option<Upstream> {
-        let dispatch = Dispatch::new(self.context.clone(), placement);
+        let mut dispatch = Dispatch::new(self.context.clone(), placement);
         let endpoint = dispatch.placement.endpoint.clone();
         self.tried.push(endpoint.clone());
         log_retry(&self.request.id, &dispatch.placement);
--- a/crates/direct/tests/suite/cold_restarts.rs
+++ b/crates/direct/tests/suite/cold_restarts.rs
@@ -51,6 +51,7 @@
         for (_, entry, placement) in done {
             if is_away {
                 // Each request has a fingerprint of its own, so that none is suspected.
+                fleet[entry].record_lost_connection(&placement, placement.chosen_at, now);
                 fleet[entry].record_break(&placement, random.random(), &[], false, now);
                 fleet[entry].record_outcome(&placement, Outcome::Broke, now);
             } else {
@@ -130,7 +131,7 @@
     assert!(!is_cold(&restarts, 1));
     let sent_before = Instant::now();
     time::advance(STEP).await;
-    restarts.record_loss(&id, 1, Instant::now());
+    restarts.record_loss(&id, 1, Instant::now(), Instant::now());
     assert!(is_cold(&restarts, 1));
     // The registration of a later incarnation states how long it is cold.
     assert!(!is_cold(&restarts, 2));
@@ -153,7 +154,7 @@
 #[tokio::test(start_paused = true)]
 async fn reports_end() {
     let (id, mut first) = (conf::id::Endpoint::from("e0"), Restarts::default());
-    first.record_loss(&id, 1, Instant::now());
+    first.record_loss(&id, 1, Instant::now(), Instant::now());
     time::advance(Duration::from_secs(30)).await;
     let mut second = Restarts::default();
     second.merge(&first.news(Instant::now()), Instant::now());
@@ -195,11 +196,12 @@
     let opened = Instant::now();
     time::advance(Duration::from_secs(1)).await;
     let later = Instant::now();
-    first.record_loss(&id, 1, Instant::now());
-    second.record_loss(&id, 1, Instant::now());
+    time::advance(STEP * 2).await;
+    first.record_loss(&id, 1, later, Instant::now());
+    second.record_loss(&id, 1, later, Instant::now());
     let may_be_cold = |known: &Restarts| known.may_be_cold(&id, 1, COLD_TIME, Instant::now());
     time::advance(Duration::from_secs(1)).await;
-    // A connection that was set up after the loss proves nothing.
+    // A connection that was set up since proves nothing: the loss of another one may be noticed late.
     first.record_answer(&id, answer(later + STEP, Instant::now()));
     assert!(may_be_cold(&first));
     first.record_answer(&id, answer(opened, Instant::now()));
@@ -208,10 +210,10 @@
     assert!(!may_be_cold(&second));
     // What others still tell of the loss changes nothing, a new loss does.
     let mut third = Restarts::default();
-    third.record_loss(&id, 1, later);
+    third.record_loss(&id, 1, later, later);
     second.merge(&third.news(Instant::now()), Instant::now());
     assert!(!may_be_cold(&second));
-    second.record_loss(&id, 1, Instant::now());
+    second.record_loss(&id, 1, later, Instant::now());
     second.merge(&first.news(Instant::now()), Instant::now());
     assert!(may_be_cold(&second));
 }
