Review: case 8, servers that turn cold while the store is down get their whole share

Cause: entries learn of cold servers from their registrations, or guess it after a lost connection; Cold-Ms in health answers is not read.

Adds: review/8 with a script: three servers turn cold one after the other while the store answers 503 for 4.5 s.

--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -1,9 +1,11 @@
 //! Stand-ins of clients, servers and the store for the cases of the second review.
 
+mod cold;
 mod configs;
 mod fleet;
 mod http;
 mod ids;
+mod leavers;
 mod record;
 mod server;
 mod store;
@@ -44,8 +46,10 @@
         trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let play = match case.as_str() {
+        "cold" => cold::play,
         "configs" => configs::play,
         "ids" => ids::play,
+        "leavers" => leavers::play,
         _ => return ExitCode::from(2),
     };
     let outcome = play(&trial);
--- a/review/stand_ins_2/server.rs
+++ b/review/stand_ins_2/server.rs
@@ -33,7 +33,7 @@
         self.0.lock().expect("runs").clone()
     }
 
-    fn add(&self, server: &str, request: &Message) {
+    pub fn add(&self, server: &str, request: &Message) {
         let id = request.header("request-id").unwrap_or_default();
         self.0.lock().expect("runs").push(Run {
             at: Instant::now(),
@@ -51,6 +51,47 @@
     pub gap: Duration,
 }
 
+/// Server that runs until the end of the case.
+pub struct Server {
+    pub id: String,
+    service: String,
+    zone: String,
+    address: SocketAddr,
+    born: u128,
+    cold_until: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Server {
+    /// Makes the server cold again for a time, which its health answers state.
+    pub fn turn_cold(&self, time: Duration) {
+        *self.cold_until.lock().expect("server") = Some(Instant::now() + time);
+    }
+
+    /// Writes the registration to the store.
+    pub fn register(&self, store: &Store) {
+        let Self {
+            service,
+            zone,
+            address,
+            born,
+            ..
+        } = self;
+        let cold = cold_left(&self.cold_until);
+        let registration = format!(
+            r#"{{"service":"{service}","addr":"{address}","zone":"{zone}","version":"v1","slots":12,"state":"ready","cold_left_ms":{cold},"seq":1,"born":{born}}}"#
+        );
+        store.put(&format!("servers/{}", self.id), Some(&registration));
+    }
+}
+
+/// Returns how long a server is still cold, in milliseconds.
+fn cold_left(cold_until: &Mutex<Option<Instant>>) -> u128 {
+    let until = *cold_until.lock().expect("server");
+    until.map_or(0, |until| {
+        until.saturating_duration_since(Instant::now()).as_millis()
+    })
+}
+
 /// Starts a server and registers it; with a stream it answers each request with that, else with a short body.
 pub fn start(
     store: &Store,
@@ -59,28 +100,36 @@
     zone: &str,
     number: usize,
     stream: Option<Stream>,
-) {
+) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").expect("port of a server");
-    let address = listener.local_addr().expect("address of a server");
-    let id = format!("i-{service}{number}");
-    let (server, runs) = (id.clone(), runs.clone());
+    let server = Server {
+        id: format!("i-{service}{number}"),
+        service: service.to_owned(),
+        zone: zone.to_owned(),
+        address: listener.local_addr().expect("address of a server"),
+        born: now_ms(),
+        cold_until: Arc::default(),
+    };
+    let (id, runs, cold_until) = (server.id.clone(), runs.clone(), server.cold_until.clone());
     http::serve(listener, move |connection, request| {
-        respond(connection, &request, &server, &runs, stream.as_ref())
+        if request.path() == "/health" {
+            let cold = cold_left(&cold_until);
+            return connection.respond(
+                200,
+                &format!("Instance-Id: {id}\r\nCold-Ms: {cold}\r\n"),
+                b"",
+            );
+        }
+        respond(connection, &request, &id, &runs, stream.as_ref())
     });
-    store.put(
-        &format!("servers/{id}"),
-        Some(&registration(service, zone, address)),
-    );
+    server.register(store);
+    server
 }
 
-fn registration(service: &str, zone: &str, address: SocketAddr) -> String {
-    let born = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .expect("clock")
-        .as_millis();
-    format!(
-        r#"{{"service":"{service}","addr":"{address}","zone":"{zone}","version":"v1","slots":12,"state":"ready","cold_left_ms":0,"seq":1,"born":{born}}}"#
-    )
+/// Returns the Unix time in milliseconds.
+pub fn now_ms() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("clock").as_millis()
 }
 
 fn respond(
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -33,6 +33,8 @@
     changes: VecDeque<Change>,
     /// Revision up to which changes were discarded.
     discarded: u64,
+    /// Whether all calls are answered 503.
+    is_down: bool,
 }
 
 #[derive(Clone, Default)]
@@ -80,7 +82,17 @@
         Instant::now()
     }
 
+    /// Begins or ends an outage, in which all calls are answered 503.
+    pub fn set_down(&self, is_down: bool) {
+        let (state, changed) = &*self.0;
+        state.lock().expect("store").is_down = is_down;
+        changed.notify_all();
+    }
+
     fn respond(&self, connection: &mut Connection, request: &Message) -> io::Result<()> {
+        if self.is_down() {
+            return connection.respond(503, "", b"");
+        }
         match request.path() {
             "/v1/kv-range" => {
                 let body = self.list(&request.parameter("after").unwrap_or_default());
@@ -90,6 +102,7 @@
                 let number = |name| request.parameter(name).and_then(|text| text.parse().ok());
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
                 match self.watch(number("after").unwrap_or(0), wait) {
+                    _ if self.is_down() => connection.respond(503, "", b""),
                     Some(body) => {
                         let headers = "Content-Type: application/json\r\n";
                         connection.respond(200, headers, body.as_bytes())
@@ -101,6 +114,10 @@
         }
     }
 
+    fn is_down(&self) -> bool {
+        self.0.0.lock().expect("store").is_down
+    }
+
     fn list(&self, after: &str) -> String {
         let state = self.0.0.lock().expect("store");
         let (mut items, mut count, mut has_more) = (String::new(), 0, false);
@@ -123,7 +140,7 @@
     fn watch(&self, after: u64, wait: Duration) -> Option<String> {
         let (state, changed) = &*self.0;
         let state = state.lock().expect("store");
-        let is_current = |state: &mut State| state.revision <= after;
+        let is_current = |state: &mut State| state.revision <= after && !state.is_down;
         let waited = changed.wait_timeout_while(state, wait, is_current);
         let (mut state, _) = waited.expect("store");
         while state
