--- a/review/stand_ins_2/cold.rs
+++ b/review/stand_ins_2/cold.rs
@@ -75,7 +75,7 @@
                         "GET /cufi504/{number} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 1500\r\nX-Api-Key: n2ctnfzs989anu6wsjnb\r\n\r\n"
                     );
                     let start = Instant::now();
-                    times.lock().expect("times").insert(id, start);
+                    let mut status = 0;
                     sent.fetch_add(1, Ordering::Relaxed);
                     let kept: Option<Connection> = connection.take();
                     let kept = kept.or_else(|| Connection::connect(address, Duration::from_secs(2)).ok());
@@ -83,10 +83,12 @@
                         && kept.write(request.as_bytes()).is_ok()
                         && let Ok(Some(response)) = kept.read_message()
                     {
-                        served.fetch_add(usize::from(response.status() == 200), Ordering::Relaxed);
+                        status = response.status();
+                        served.fetch_add(usize::from(status == 200), Ordering::Relaxed);
                         let closes = response.header("connection") == Some("close");
                         connection = (response.is_whole && !closes).then_some(kept);
                     }
+                    times.lock().expect("times").insert(id, (start, status));
                     thread::sleep(INTERVAL.saturating_sub(start.elapsed()));
                 }
             })
@@ -128,13 +130,23 @@
     let bound = COLD_RATE * OVERSHOOT + SLACK;
     let times = times.lock().expect("times");
     let all = runs.all();
+    let ran: std::collections::HashMap<&str, &str> = all
+        .iter()
+        .map(|run| (run.id.as_str(), run.server.as_str()))
+        .collect();
+    let mut answers: Vec<_> = times.iter().collect();
+    answers.sort_by_key(|(_, (start, _))| *start);
+    for (id, (start, status)) in answers {
+        let server = ran.get(id.as_str()).unwrap_or(&"no server");
+        record.line_at(*start, &format!("{id} sent: {status}, ran at {server}"));
+    }
     let mut most = 0;
     for (server, cold_at) in servers.iter().zip(cold_at) {
         let cold_until = cold_at + COLD_TIME;
         let mut arrivals: Vec<(Instant, Instant)> = all
             .iter()
             .filter(|run| run.server == server.id && run.at >= cold_at && run.at < cold_until)
-            .filter_map(|run| Some((run.at, *times.get(&run.id)?)))
+            .filter_map(|run| Some((run.at, times.get(&run.id)?.0)))
             .collect();
         arrivals.sort();
         // Requests that were sent and arrived inside one second.
