Review: case 10, kills of all entries let a request crash servers again

Cause: what entries know of requests that crash servers lies in their memory alone, and a fleet that starts anew begins at nothing.

Adds: review/10 with a script: all three entries are killed three times, and the request comes again each time after they are in touch.

--- a/review/stand_ins_2/fleet.rs
+++ b/review/stand_ins_2/fleet.rs
@@ -63,16 +63,8 @@
 "#,
             seeds.join(",")
         );
-        let path = folder.join(format!("{name}.json"));
-        fs::write(&path, settings).expect("settings");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("log");
-        let child = Command::new("target/release/apricot-platform-entry")
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()
-            .expect("the entry must be built");
+        fs::write(folder.join(format!("{name}.json")), settings).expect("settings");
+        let child = spawn(folder, &name);
         entries.push(Entry {
             name,
             address: format!("{host}:{callers}").parse().expect("address"),
@@ -81,15 +73,32 @@
             folder: folder.to_owned(),
         });
     }
+    wait_until_ready(&entries).then_some(entries)
+}
+
+/// Starts the process of an entry whose settings are in a folder.
+fn spawn(folder: &Path, name: &str) -> Child {
+    let log = File::create(folder.join(format!("{name}.log"))).expect("log");
+    Command::new("target/release/apricot-platform-entry")
+        .arg("--settings")
+        .arg(folder.join(format!("{name}.json")))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .spawn()
+        .expect("the entry must be built")
+}
+
+/// Waits until entries are ready; returns false if that takes too long.
+pub fn wait_until_ready(entries: &[Entry]) -> bool {
     let deadline = Instant::now() + START_TIMEOUT;
     while !entries.iter().all(Entry::is_ready) {
         if Instant::now() > deadline {
             println!("the entries did not become ready");
-            return None;
+            return false;
         }
         thread::sleep(Duration::from_millis(50));
     }
-    Some(entries)
+    true
 }
 
 impl Entry {
@@ -108,6 +117,14 @@
         let _ = self.child.wait();
     }
 
+    /// Starts the killed process again; the fleet does not start for the first time any more.
+    pub fn start_again(&mut self) {
+        let path = self.folder.join(format!("{}.json", self.name));
+        let settings = fs::read_to_string(&path).expect("settings");
+        fs::write(&path, settings.replace(r#""first_start": true,"#, "")).expect("settings");
+        self.child = spawn(&self.folder, &self.name);
+    }
+
     /// Returns the lines of the process's log that contain a text.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.folder.join(format!("{}.log", self.name)));
--- a/review/stand_ins_2/leavers.rs
+++ b/review/stand_ins_2/leavers.rs
@@ -20,7 +20,7 @@
 };
 
 const SERVICE: &str = "huvo11a";
-const SERVERS: usize = 6;
+pub const SERVERS: usize = 6;
 /// Servers, from the first on, that go on with a request whose connection closes; the others drop it.
 const PERSISTENT: usize = 2;
 /// Time from the begin of a run of the request until the server ends.
@@ -33,12 +33,12 @@
 const ATTEMPTS: usize = 36;
 const INTERVAL: Duration = Duration::from_millis(1000);
 /// `contact_ms` of the sheet, and the retries that the rule allows.
-const CONTACT_TIME: Duration = Duration::from_millis(5000);
-const ALLOWED: usize = 3;
+pub const CONTACT_TIME: Duration = Duration::from_millis(5000);
+pub const ALLOWED: usize = 3;
 /// Path of the request that crashes servers.
 const POISON: &str = "/lohu930/poison";
 
-fn configuration() -> String {
+pub fn configuration() -> String {
     format!(
         r#"{{"version":3,"routes":[{{"name":"r-2yhvz3p","host":"ficu95.example","prefix":"/lohu930/","kind":"streaming","timeout_ms":8000,"target_latency_ms":400,"priority":1,"service":"{SERVICE}","max_attempts":2,"public":false,"sticky":true,"stream_resume":true,"target_gap_ms":120}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":400,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}}]}}"#
     )
@@ -46,10 +46,16 @@
 
 /// Crash of a server.
 #[derive(Default)]
-struct Crashes(Mutex<Vec<Instant>>);
+pub struct Crashes(Mutex<Vec<Instant>>);
 
 /// Runs a server that ends under the request and comes back, until the case ends.
-fn run_server(number: usize, zone: &'static str, store: Store, runs: Runs, crashes: Arc<Crashes>) {
+pub fn run_server(
+    number: usize,
+    zone: &'static str,
+    store: Store,
+    runs: Runs,
+    crashes: Arc<Crashes>,
+) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("port of a server");
     let address = listener.local_addr().expect("address of a server");
     let mut listener = Some(listener);
@@ -174,7 +180,7 @@
 }
 
 /// Sends the request and waits for the answer, or leaves.
-fn send(entry: SocketAddr, id: &str, leaves: bool, record: &Record) {
+pub fn send(entry: SocketAddr, id: &str, leaves: bool, record: &Record) {
     let sent = Instant::now();
     let wait = if leaves {
         LEAVES_AFTER
@@ -234,6 +240,11 @@
         thread::sleep(INTERVAL.saturating_sub(start.elapsed()));
     }
     thread::sleep(Duration::from_secs(1));
+    judge(record, &runs, &crashes)
+}
+
+/// Records what reached the servers, and checks the rule.
+pub fn judge(record: &Record, runs: &Runs, crashes: &Crashes) -> Outcome {
     let crashes = crashes.0.lock().expect("crashes").clone();
     crashes
         .iter()
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -7,6 +7,7 @@
 mod ids;
 mod leavers;
 mod record;
+mod restarts;
 mod server;
 mod store;
 
@@ -50,6 +51,7 @@
         "configs" => configs::play,
         "ids" => ids::play,
         "leavers" => leavers::play,
+        "restarts" => restarts::play,
         _ => return ExitCode::from(2),
     };
     let outcome = play(&trial);
