Review: cases 8 and 9 stay inside the limits of their site

Cause: case 9 had one client that leaves for longer than the site file allows, and no others; case 8 named a site whose file has other figures.

--- a/review/stand_ins_2/leavers.rs
+++ b/review/stand_ins_2/leavers.rs
@@ -29,11 +29,16 @@
 const RESTART_TIME: Duration = Duration::from_secs(2);
 /// Time after which the client leaves: half the objective of 400 ms (`give_up`).
 const LEAVES_AFTER: Duration = Duration::from_millis(200);
-/// Number of times that the request comes, and time between two.
-const ATTEMPTS: usize = 36;
-const INTERVAL: Duration = Duration::from_millis(1000);
+/// Times in which clients leave (`give_up`, 5.5 s at most), and time between two of them, in which the request does not come.
+const SPANS: usize = 4;
+const SPAN: Duration = Duration::from_millis(5500);
+const PAUSE: Duration = Duration::from_secs(3);
+/// Time between two times that the request comes.
+const INTERVAL: Duration = Duration::from_millis(700);
+/// Clients that stay, beside the one that leaves (share 0.3 at most).
+const STAYING: usize = 3;
 /// `contact_ms` of the sheet, and the retries that the rule allows.
-pub const CONTACT_TIME: Duration = Duration::from_millis(5000);
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
 pub const ALLOWED: usize = 3;
 /// Path of the request that crashes servers.
 const POISON: &str = "/lohu930/poison";
@@ -228,39 +233,91 @@
     };
     record.line(&format!("{} entries are ready", entries.len()));
     thread::sleep(CONTACT_TIME + Duration::from_secs(1));
-    for attempt in 0..ATTEMPTS {
-        let start = Instant::now();
-        let entry = entries[attempt % entries.len()].address;
-        send(
-            entry,
-            &format!("9c41d07be2a4{attempt:04x}"),
-            *trouble,
-            record,
+    let stop = Arc::new(AtomicBool::new(false));
+    let staying: Vec<_> = (0..STAYING)
+        .map(|client| {
+            let (entry, stop) = (entries[client % entries.len()].address, stop.clone());
+            thread::spawn(move || stay(entry, client, &stop))
+        })
+        .collect();
+    let mut attempt = 0;
+    for span in 0..SPANS {
+        let begin = Instant::now();
+        record.line(&format!("span {span} begins"));
+        while begin.elapsed() + INTERVAL < SPAN {
+            let start = Instant::now();
+            let entry = entries[attempt % entries.len()].address;
+            send(
+                entry,
+                &format!("9c41d07be2a4{attempt:04x}"),
+                *trouble,
+                record,
+            );
+            attempt += 1;
+            thread::sleep(INTERVAL.saturating_sub(start.elapsed()));
+        }
+        thread::sleep(PAUSE);
+    }
+    stop.store(true, Ordering::Relaxed);
+    let (mut whole, mut other) = (0, 0);
+    for client in staying {
+        let (own, cut) = client.join().expect("client");
+        (whole, other) = (whole + own, other + cut);
+    }
+    record.line(&format!(
+        "other clients: {whole} streams whole, {other} not"
+    ));
+    judge(record, &runs, &crashes, CONTACT_TIME)
+}
+
+/// Sends sound requests one after the other; returns how many answers were whole streams, and how many were not.
+fn stay(entry: SocketAddr, client: usize, stop: &AtomicBool) -> (usize, usize) {
+    let (mut whole, mut other) = (0, 0);
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let request = format!(
+            "POST /lohu930/{client} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: s{client}-{number}\r\nModel: m\r\nToken-Usage: 714,120\r\nPrompt-Prefix: 5c1e07a2:40,{client}{number:04x}:674\r\nDeadline-Ms: 8000\r\nX-Api-Key: n2ctnfzs989anu6wsjnb\r\nContent-Length: 2\r\n\r\n{{}}"
+        );
+        let answer =
+            Connection::connect(entry, Duration::from_secs(9)).and_then(|mut connection| {
+                connection.write(request.as_bytes())?;
+                connection.read_message()
+            });
+        let is_whole =
+            matches!(answer, Ok(Some(answer)) if answer.status() == 200 && answer.is_whole);
+        (whole, other) = (
+            whole + usize::from(is_whole),
+            other + usize::from(!is_whole),
         );
-        thread::sleep(INTERVAL.saturating_sub(start.elapsed()));
+        thread::sleep(Duration::from_millis(100));
     }
-    thread::sleep(Duration::from_secs(1));
-    judge(record, &runs, &crashes)
+    (whole, other)
 }
 
 /// Records what reached the servers, and checks the rule.
-pub fn judge(record: &Record, runs: &Runs, crashes: &Crashes) -> Outcome {
+pub fn judge(record: &Record, runs: &Runs, crashes: &Crashes, contact: Duration) -> Outcome {
     let crashes = crashes.0.lock().expect("crashes").clone();
     crashes
         .iter()
         .for_each(|at| record.line_at(*at, "a server has ended under the request"));
-    let all = runs.all();
+    let all: Vec<_> = runs
+        .all()
+        .into_iter()
+        .filter(|run| run.id.starts_with("9c41"))
+        .collect();
     for run in &all {
         record.line_at(run.at, &format!("{} reached {}", run.id, run.server));
     }
     let third = crashes.get(2).copied();
     let late = all
         .iter()
-        .filter(|run| third.is_some_and(|third| run.at > third + CONTACT_TIME))
+        .filter(|run| third.is_some_and(|third| run.at > third + contact))
         .count();
     let result = format!(
         "{late} arrivals later than {} ms after the third crash, {ALLOWED} allowed; {} crashes, {} arrivals in all",
-        CONTACT_TIME.as_millis(),
+        contact.as_millis(),
         crashes.len(),
         all.len()
     );
--- a/review/stand_ins_2/restarts.rs
+++ b/review/stand_ins_2/restarts.rs
@@ -4,11 +4,13 @@
 
 use crate::{
     Outcome, Trial, fleet,
-    leavers::{CONTACT_TIME, Crashes, SERVERS, configuration, judge, run_server, send},
+    leavers::{Crashes, SERVERS, configuration, judge, run_server, send},
     server::Runs,
     store::Store,
 };
 
+/// `contact_ms` of the sheet.
+const CONTACT_TIME: Duration = Duration::from_millis(5000);
 /// Number of times that all entries are killed, and number of times that the request comes after each start.
 const KILLS: usize = 3;
 const ATTEMPTS: usize = 2;
@@ -58,5 +60,5 @@
             thread::sleep(Duration::from_millis(1500));
         }
     }
-    judge(record, &runs, &crashes)
+    judge(record, &runs, &crashes, CONTACT_TIME)
 }
