Pass on the ids of events unchanged

Cause: Headers decoded Last-Event-Id as a floating-point number, which holds whole numbers up to 2^53, and sent what was left of it to the endpoint. Ids of events above 64 bits, and ids that are no numbers, counted as missing, so that a stream which the entry resumed began anew. Ruled out: the filter for events that the client has (the id had changed before it), and the server (it resumed after what it got).

Change: an event's id is text that stays as it was written; whole numbers of any size are compared as numbers, other ids for equality. A stream whose last events have no usable id is cut, not resumed. `sent` logs the id as `after`.

The product's own way resumes by bytes and is not concerned.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -373,6 +373,7 @@
             other_zone = dispatch.placement.other_zone,
             cold = dispatch.placement.cold,
             limit:? = dispatch.placement.limit,
+            after:? = self.request.last_event,
             attempt = self.tried.len(),
             age_ms = millis(self.arrived.elapsed()),
             left_ms = millis(self.time_left());
@@ -580,8 +581,8 @@
         connection: Connection,
     ) -> Disposition {
         let is_resumable = self.route.repeat == Repeat::Resumable;
-        let mut upstream =
-            Upstream::new(dispatch, body, connection, &head, self.request.last_event);
+        let last_id = self.request.last_event.clone();
+        let mut upstream = Upstream::new(dispatch, body, connection, &head, last_id);
         // Until the first event is received, another endpoint can still send the whole stream.
         let first = match time::timeout_at(self.start_by, upstream.next_events()).await {
             Ok(Ok(first)) => first,
@@ -645,7 +646,7 @@
             team: self.team.as_ref(),
             time_left: self.time_left(),
             priority: self.level.min(metadata::MAX_PRIORITY),
-            last_event: self.request.last_event,
+            last_event: self.request.last_event.as_ref(),
         };
         build_request(
             &*self.context.protocol,
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -1,7 +1,13 @@
 //! Server-sent events.
 
+use std::cmp::Ordering;
+
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
+use smol_str::SmolStr;
+
+/// Id of an event, as its endpoint wrote it: a whole number of any size, or any other text.
+pub type Id = SmolStr;
 
 /// Largest incomplete event that is buffered, in bytes; a longer one means that the body is not an
 /// event stream.
@@ -9,6 +15,8 @@
 /// Maximum number of pieces in which an incomplete event may be received; each piece takes time of its
 /// own, whatever its size.
 const MAX_EVENT_PIECES: usize = MAX_EVENT_BYTES / payload::FRAME_BYTES;
+/// Longest id of an event that is used, in bytes; it is sent to endpoints in a header.
+const MAX_ID_BYTES: usize = 1024;
 /// Length of the longest end of an event, in bytes.
 const MAX_END_BYTES: usize = b"\n\r\n".len();
 
@@ -28,7 +36,9 @@
     /// Unchanged bytes of the events.
     pub bytes: Bytes,
     /// Id of the last event that has one.
-    pub last_id: Option<u64>,
+    pub last_id: Option<Id>,
+    /// Whether events with data but without an id follow the last one that has an id, so that nothing can be resumed after them.
+    pub is_unnumbered: bool,
     /// Number of events.
     pub count: u32,
 }
@@ -52,8 +62,8 @@
         self.buffer.len() > MAX_EVENT_BYTES || self.pieces > MAX_EVENT_PIECES
     }
 
-    /// Removes and returns all complete events, without those whose id is at most `after`.
-    pub fn take_events(&mut self, after: Option<u64>) -> Batch {
+    /// Removes and returns all complete events, without those whose id is `after` or a smaller number.
+    pub fn take_events(&mut self, after: Option<&Id>) -> Batch {
         let mut batch = Batch::default();
         let mut bytes = BytesMut::new();
         while let Some(end) = self.find_end() {
@@ -61,10 +71,16 @@
             self.searched = 0;
             self.pieces = 0;
             let id = id_of(&event);
-            if id.is_some_and(|id| after.is_some_and(|after| id <= after)) {
+            if let (Some(id), Some(after)) = (&id, after)
+                && compare(id, after).is_some_and(Ordering::is_le)
+            {
                 continue;
             }
-            batch.last_id = id.or(batch.last_id);
+            if id.is_some() {
+                (batch.last_id, batch.is_unnumbered) = (id, false);
+            } else {
+                batch.is_unnumbered |= has_data(&event);
+            }
             batch.count += 1;
             if bytes.is_empty() {
                 bytes = event;
@@ -88,10 +104,34 @@
     }
 }
 
-/// Returns the id of an event if it is a number.
-fn id_of(event: &[u8]) -> Option<u64> {
+/// Compares the ids of two events of one stream; returns `None` if they differ and are not both whole numbers.
+#[must_use]
+pub fn compare(left: &str, right: &str) -> Option<Ordering> {
+    if left == right {
+        return Some(Ordering::Equal);
+    }
+    let (left, right) = (significant_digits(left)?, significant_digits(right)?);
+    Some(left.len().cmp(&right.len()).then_with(|| left.cmp(right)))
+}
+
+/// Returns the digits of a whole number without leading zeros, or `None` if the text is something else.
+fn significant_digits(text: &str) -> Option<&str> {
+    let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| text.trim_start_matches('0'))
+}
+
+/// Returns the id of an event, unless it has none that a header can carry.
+fn id_of(event: &[u8]) -> Option<Id> {
     let line = event
         .split(|byte| *byte == b'\n')
         .find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+    let id = std::str::from_utf8(line).ok()?.trim();
+    let is_usable = !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.contains(char::is_control);
+    is_usable.then(|| Id::new(id))
+}
+
+/// Returns whether an event has data, so that its receiver takes notice of it.
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
 }
--- a/crates/direct/src/metadata.rs
+++ b/crates/direct/src/metadata.rs
@@ -6,7 +6,7 @@
 use conf::id;
 use smol_str::SmolStr;
 
-use crate::{Outcome, Part};
+use crate::{Outcome, Part, events};
 
 /// Largest priority value, that of the requests which endpoints serve last.
 pub const MAX_PRIORITY: u8 = 9;
@@ -21,7 +21,7 @@
     /// Time for which the client waits for the response.
     pub timeout: Option<Duration>,
     /// Id of the last event that the client received, if it resumes a stream.
-    pub last_event: Option<u64>,
+    pub last_event: Option<events::Id>,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
     /// Largest length of the generated text, in tokens.
@@ -45,7 +45,7 @@
     /// Scheduling priority at the endpoint, from 0 (highest) to [`MAX_PRIORITY`].
     pub priority: u8,
     /// Id of the last event that the client received, if the endpoint resumes a stream.
-    pub last_event: Option<u64>,
+    pub last_event: Option<&'a events::Id>,
 }
 
 /// What a response states about the request rate that its endpoint takes from all entries together.
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -10,6 +10,7 @@
     Attempt, Fingerprint, Outcome, Placement,
     call::{Context, MAX_ATTEMPTS, MIN_RETRY_TIME, millis},
     dispatch::{Dispatch, log_outcome, log_retry},
+    events,
     forward::build_request,
     metadata,
     pool::Error,
@@ -41,7 +42,7 @@
 impl Resumption {
     /// Sends the request to another endpoint, to resume after the event `last_id`; returns `None` if
     /// that is not allowed or fails.
-    pub(crate) async fn resume(&mut self, last_id: Option<u64>) -> Option<Upstream> {
+    pub(crate) async fn resume(&mut self, last_id: Option<events::Id>) -> Option<Upstream> {
         for _ in 0..MAX_ATTEMPTS {
             let time_left = self.deadline.saturating_duration_since(Instant::now());
             if !self.is_resumable
@@ -73,7 +74,7 @@
                     return None;
                 }
             };
-            if let Some(upstream) = self.resume_at(placement, last_id, time_left).await {
+            if let Some(upstream) = self.resume_at(placement, last_id.clone(), time_left).await {
                 return Some(upstream);
             }
         }
@@ -83,7 +84,7 @@
     async fn resume_at(
         &mut self,
         placement: Placement,
-        last_id: Option<u64>,
+        last_id: Option<events::Id>,
         time_left: Duration,
     ) -> Option<Upstream> {
         let mut dispatch = Dispatch::new(self.context.clone(), placement);
@@ -96,7 +97,7 @@
             team: self.team.as_ref(),
             time_left,
             priority: self.level.min(metadata::MAX_PRIORITY),
-            last_event: last_id,
+            last_event: last_id.as_ref(),
         };
         let request = build_request(
             &*self.context.protocol,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -12,7 +12,7 @@
     body::Body,
     call::millis,
     dispatch::{Dispatch, log_outcome},
-    events::Splitter,
+    events::{self, Splitter},
     pool::{self, Connection, keep_alive},
     response::is_unframed,
     resumption::Resumption,
@@ -48,19 +48,21 @@
     /// Whether a complete event was received.
     has_event: bool,
     /// Id of the last event that was passed on to the client.
-    last_id: Option<u64>,
+    last_id: Option<events::Id>,
+    /// Whether events without an id were passed on after that one.
+    is_unnumbered: bool,
     /// Time at which the last event was received.
     last_event_at: Option<Instant>,
 }
 
 impl Upstream {
-    /// Starts to read a stream; events with an id up to `last_id` are left out.
+    /// Starts to read a stream; events up to the one with the id `last_id` are left out.
     pub(crate) fn new(
         dispatch: Dispatch,
         body: Incoming,
         connection: Connection,
         head: &response::Parts,
-        last_id: Option<u64>,
+        last_id: Option<events::Id>,
     ) -> Self {
         Self {
             dispatch,
@@ -71,6 +73,7 @@
             is_unframed: is_unframed(head),
             has_event: false,
             last_id,
+            is_unnumbered: false,
             last_event_at: None,
         }
     }
@@ -115,10 +118,13 @@
                             "an event is longer or in more pieces than allowed",
                         ));
                     }
-                    let batch = self.splitter.take_events(self.last_id);
+                    let batch = self.splitter.take_events(self.last_id.as_ref());
                     self.has_event |= batch.count > 0;
                     self.record_events(batch.count);
-                    self.last_id = batch.last_id.or(self.last_id);
+                    if batch.last_id.is_some() {
+                        (self.last_id, self.is_unnumbered) = (batch.last_id, false);
+                    }
+                    self.is_unnumbered |= batch.is_unnumbered;
                     if !batch.bytes.is_empty() {
                         return Ok(batch.bytes);
                     }
@@ -217,7 +223,7 @@
         let Some(broken) = self.upstream.take() else {
             return false;
         };
-        let last_id = broken.last_id;
+        let (last_id, is_unnumbered) = (broken.last_id.clone(), broken.is_unnumbered);
         self.log_outcome(&broken, "broke amid its stream", &error.to_string());
         if matches!(error, Error::Lost(_)) {
             let resumption = &self.resumption;
@@ -227,6 +233,11 @@
                 .record_break(&resumption.request, resumption.fingerprint, is_repeat);
         }
         broken.abort(Outcome::Broke);
+        if is_unnumbered {
+            // Another endpoint would send the events without an id once more.
+            log::info!(request:% = self.resumption.request.id, reason = "the last events have no ids"; "stream is not resumed");
+            return false;
+        }
         self.is_resumed = true;
         self.upstream = self.resumption.resume(last_id).await;
         self.upstream.is_some()
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -56,7 +56,7 @@
         );
         headers.insert("priority", HeaderValue::from(u16::from(forwarded.priority)));
         if let Some(last) = forwarded.last_event {
-            headers.insert("last", HeaderValue::from(last));
+            headers.insert("last", HeaderValue::from_str(last).unwrap());
         }
     }
 
--- a/crates/direct/tests/suite/event_split.rs
+++ b/crates/direct/tests/suite/event_split.rs
@@ -1,4 +1,6 @@
-use direct::events::Splitter;
+use std::cmp::Ordering;
+
+use direct::events::{Splitter, compare};
 use proptest::{collection::vec, prelude::*};
 
 #[test]
@@ -7,15 +9,15 @@
     splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
     let batch = splitter.take_events(None);
     assert_eq!(
-        (&batch.bytes[..], batch.last_id, batch.count),
-        (&b"id: 1\ndata: a\n\n"[..], Some(1), 1)
+        (&batch.bytes[..], batch.last_id.as_deref(), batch.count),
+        (&b"id: 1\ndata: a\n\n"[..], Some("1"), 1)
     );
     assert!(!splitter.is_empty());
     splitter.push(b"ta: b\n\n");
     let batch = splitter.take_events(None);
     assert_eq!(
-        (&batch.bytes[..], batch.last_id),
-        (&b"id: 2\ndata: b\n\n"[..], Some(2))
+        (&batch.bytes[..], batch.last_id.as_deref()),
+        (&b"id: 2\ndata: b\n\n"[..], Some("2"))
     );
     assert!(splitter.is_empty());
 }
@@ -24,10 +26,10 @@
 fn old_events_skipped() {
     let mut splitter = Splitter::default();
     splitter.push(b"id: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n");
-    let batch = splitter.take_events(Some(4));
+    let batch = splitter.take_events(Some(&"4".into()));
     assert_eq!(
-        (&batch.bytes[..], batch.last_id, batch.count),
-        (&b"id: 5\ndata: e\n\n"[..], Some(5), 1)
+        (&batch.bytes[..], batch.last_id.as_deref(), batch.count),
+        (&b"id: 5\ndata: e\n\n"[..], Some("5"), 1)
     );
 }
 
@@ -35,7 +37,51 @@
 fn later_id_found() {
     let mut splitter = Splitter::default();
     splitter.push(b"weight-versions: 3\nid: 9\r\ndata: x\r\n\r\n");
-    assert_eq!(splitter.take_events(None).last_id, Some(9));
+    assert_eq!(splitter.take_events(None).last_id.as_deref(), Some("9"));
+}
+
+/// Guards against events that are left out, or sent twice, since their ids are too large or no numbers (ORDER).
+#[test]
+fn ids_compared() {
+    let later = [
+        ("9007199254740992", "9007199254740993"),
+        ("18446744073709551615", "18446744073709551616"),
+        ("9", "10"),
+        ("009", "10"),
+        ("0", "00000000000000000000000000000000000000001"),
+    ];
+    for (id, next) in later {
+        assert_eq!(compare(id, next), Some(Ordering::Less), "{id} {next}");
+        assert_eq!(compare(next, id), Some(Ordering::Greater), "{id} {next}");
+        let mut splitter = Splitter::default();
+        splitter.push(format!("id: {id}\ndata: a\n\nid: {next}\ndata: b\n\n").as_bytes());
+        let batch = splitter.take_events(Some(&id.into()));
+        assert_eq!((batch.last_id.as_deref(), batch.count), (Some(next), 1));
+    }
+    assert_eq!(compare("007", "7"), Some(Ordering::Equal));
+    assert_eq!(compare("a", "a"), Some(Ordering::Equal));
+    for (left, right) in [("a", "b"), ("1.5", "2"), ("-1", "1"), ("1", "")] {
+        assert_eq!(compare(left, right), None, "{left} {right}");
+    }
+}
+
+/// Guards against a stream that is resumed after another event than the last, since that has no usable id (ORDER).
+#[test]
+fn unnumbered_events_noticed() {
+    let cases = [
+        ("id: 1\ndata: a\n\n", false),
+        ("id: 1\ndata: a\n\ndata: b\n\n", true),
+        ("data: a\n\nid: 2\ndata: b\n\n", false),
+        ("id: 1\ndata: a\n\n: comment\n\n", false),
+        ("id:\ndata: a\n\n", true),
+        ("id: a\u{1}b\ndata: a\n\n", true),
+    ];
+    for (text, is_unnumbered) in cases {
+        let mut splitter = Splitter::default();
+        splitter.push(text.as_bytes());
+        let batch = splitter.take_events(None);
+        assert_eq!(batch.is_unnumbered, is_unnumbered, "{text}");
+    }
 }
 
 #[test]
