Refuse after one crash what earlier crashes may be forgotten of

Cause: what entries know of crashes lies in their memory and outlives one of them only in the others. An entry that started took "nobody has told me" for "nothing has happened". Evidence: `request is refused` appears anew in the logs of each generation of processes, after two breaks each; in between the request is refused with 503, so that it does not pass the refusal.

Change: entries tell each other how far back they know of crashes. One that knows less than ten minutes back, and sees endpoints of the service that started anew within these, probes an endpoint that breaks off an answer. If it has ended, the request goes to no second endpoint and is refused for a minute; a second crash counts with the first. An endpoint that is alive, a whole answer, a first start of the fleet, a survivor, or a service without late starts leave everything as it was.

Weighed: without the condition on late starts each fleet is cautious after a full restart; a refusal of ten minutes after one crash would cost sound requests more than the second crash is worth.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -28,8 +28,8 @@
     spill::Spill,
 };
 use crate::{
-    Blame, Bounds, Budget, Departures, Durations, Fingerprint, Health, Limits, Loads, Part, Pauses,
-    Restarts, Stalls, budget, cold, departures::Incarnation, terms::Terms,
+    Blame, Bounds, Budget, Caution, Departures, Durations, Fingerprint, Health, Limits, Loads,
+    Part, Pauses, Restarts, Stalls, budget, cold, departures::Incarnation, terms::Terms,
 };
 
 /// Number of engines of a group that must run requests without progress for the group to count as
@@ -173,6 +173,8 @@
     suspects: Blame<Fingerprint>,
     /// Parts of prompts under which endpoints crash.
     blame: Blame<Part>,
+    /// Whether crashes before the start of this entry may be unknown.
+    caution: Caution,
     stalls: Stalls,
     groups: group::Directory,
     passes: Passes,
@@ -219,6 +221,7 @@
             budget,
             suspects: Blame::default(),
             blame: Blame::default(),
+            caution: Caution::new(now),
             stalls: Stalls::default(),
             groups: group::Directory::default(),
             passes: Passes::default(),
@@ -227,10 +230,12 @@
         }
     }
 
-    /// Allows all retries of this entry's share at once, as no process ran before on its VM.
+    /// Allows all retries of this entry's share at once, as no process ran before on its VM; nor are there earlier
+    /// crashes that it does not know of.
     #[must_use]
     pub fn first_start(mut self) -> Self {
         self.budget = self.budget.first_start();
+        self.caution = self.caution.first_start();
         self
     }
 }
--- a/crates/direct/src/balancer/exchange.rs
+++ b/crates/direct/src/balancer/exchange.rs
@@ -126,6 +126,17 @@
         self.departures.record(endpoint, incarnation, now)
     }
 
+    /// Returns how far back this entry knows which requests crashed endpoints.
+    #[must_use]
+    pub fn crash_memory(&self, now: Instant) -> Duration {
+        self.caution.memory(now)
+    }
+
+    /// Records how far back another entry knows which requests crashed endpoints.
+    pub fn merge_crash_memory(&mut self, memory: Duration, now: Instant) {
+        self.caution.merge(memory, now);
+    }
+
     /// Returns which endpoints were lost lately, for other entries.
     #[must_use]
     pub fn loss_news(&self, now: Instant) -> Vec<Loss> {
--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -161,6 +161,28 @@
             .record_break(endpoint, *incarnation, shared_parts, is_repeat, now);
     }
 
+    /// Returns whether endpoints of a service may have crashed under requests before this entry started, unknown to it.
+    #[must_use]
+    pub fn is_cautious(&self, service: &str, now: Instant) -> bool {
+        self.caution.applies(service, now)
+    }
+
+    /// Records that an endpoint has ended under a request, while crashes before it may be unknown.
+    pub fn refuse_early(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.suspects.refuse_early(&[fingerprint], now);
+    }
+
+    /// Records which services have endpoints that started anew before this entry; returns those that were not known to.
+    /// `unix_time` is the time since the Unix epoch.
+    pub fn observe_starts(
+        &mut self,
+        view: &View,
+        unix_time: Duration,
+        now: Instant,
+    ) -> Vec<id::Service> {
+        self.caution.observe(view, unix_time, now)
+    }
+
     /// Records that an endpoint has written the whole answer to a request with these parts in its prompt.
     pub fn record_sound(&mut self, fingerprint: Fingerprint, shared_parts: &[Part], now: Instant) {
         self.suspects.record_sound(&[fingerprint], now);
--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -21,7 +21,9 @@
 /// Time for which a crash counts against a subject.
 const CRASH_TTL: Duration = Duration::from_secs(60);
 /// Time for which a subject is refused.
-const REFUSAL_TIME: Duration = Duration::from_secs(600);
+pub(crate) const REFUSAL_TIME: Duration = Duration::from_secs(600);
+/// Time for which a subject is refused after a single crash; a second one within [`REFUSAL_TIME`] counts with the first.
+const EARLY_REFUSAL_TIME: Duration = Duration::from_secs(60);
 /// Time between the break of a connection and the sign that its endpoint has ended: the store drops the
 /// registration of a silent endpoint after three of its heartbeats.
 const SIGN_TIME: Duration = Duration::from_secs(5);
@@ -83,8 +85,11 @@
     #[must_use]
     pub fn find_refused<'a>(&self, subjects: &'a [K], now: Instant) -> Option<&'a K> {
         subjects.iter().find(|subject| {
-            let refused_at = self.records.get(*subject).and_then(|r| r.refused_at);
-            refused_at.is_some_and(|at| now.duration_since(at) < REFUSAL_TIME)
+            let record = self.records.get(*subject);
+            record.is_some_and(|record| {
+                let is_recent = |at| now.duration_since(at) < refusal_time::<K>(record.refused_for);
+                record.refused_at.is_some_and(is_recent)
+            })
         })
     }
 
@@ -95,14 +100,18 @@
 
     /// Returns the number of crashes after which a subject is refused.
     fn max_crashes(&self, subject: &K, now: Instant) -> usize {
-        let last = self.answered.get(subject);
-        if last.is_some_and(|last| now.duration_since(*last) < K::ANSWER_MEMORY) {
-            K::MAX_CRASHES_IF_ANSWERED
-        } else {
-            K::MAX_CRASHES
+        match self.is_answered(subject, now) {
+            true => K::MAX_CRASHES_IF_ANSWERED,
+            false => K::MAX_CRASHES,
         }
     }
 
+    /// Returns whether a whole answer to the subject is remembered.
+    fn is_answered(&self, subject: &K, now: Instant) -> bool {
+        let last = self.answered.get(subject);
+        last.is_some_and(|last| now.duration_since(*last) < K::ANSWER_MEMORY)
+    }
+
     /// Returns whether a subject was answered after a time, or shortly before.
     fn is_sound(&self, subject: &K, at: Instant) -> bool {
         let last = self.answered.get(subject);
@@ -176,6 +185,23 @@
         }
     }
 
+    /// Refuses subjects under which an endpoint has ended, unless an answer to them is remembered: a single crash is
+    /// enough while earlier ones may be unknown.
+    pub fn refuse_early(&mut self, subjects: &[K], now: Instant) {
+        for subject in subjects {
+            if self.is_answered(subject, now) {
+                continue;
+            }
+            let Some(record) = self.record(subject) else {
+                return;
+            };
+            if record.refused_at.is_none() {
+                record.refuse(now, 1);
+                self.verdicts.push(Verdict::RefusedEarly(subject.clone()));
+            }
+        }
+    }
+
     /// Lists the endpoints at which connections broke lately, for which there is no sign of an end yet.
     #[must_use]
     pub fn doubtful_endpoints(&self) -> Vec<(id::Endpoint, Incarnation)> {
@@ -216,7 +242,7 @@
                 continue;
             }
             let count = record.count(crash.heard_at);
-            if record.refused_at.is_none() && count >= max_crashes {
+            if !record.is_refused_for(K::MAX_CRASHES) && count >= max_crashes {
                 record.refuse(crash.heard_at, count);
                 self.verdicts.push(Verdict::Refused(subject.clone()));
             }
@@ -325,20 +351,31 @@
         let count = usize::try_from(*crashes).unwrap_or(usize::MAX);
         if *age >= REFUSAL_TIME
             || self.is_sound(subject, at)
-            || count < self.max_crashes(subject, now)
+            || self.is_answered(subject, now) && count < K::MAX_CRASHES_IF_ANSWERED
         {
             return;
         }
         let Some(record) = self.record(subject) else {
             return;
         };
-        if record.refused_at.is_none() {
+        if !record.is_refused_for(count.min(K::MAX_CRASHES)) {
             record.refuse(at, count);
-            self.verdicts.push(Verdict::Refused(subject.clone()));
+            self.verdicts.push(match count < K::MAX_CRASHES {
+                true => Verdict::RefusedEarly(subject.clone()),
+                false => Verdict::Refused(subject.clone()),
+            });
         }
     }
 }
 
+/// Returns the time for which a subject is refused after `crashes` crashes.
+fn refusal_time<K: Subject>(crashes: u32) -> Duration {
+    match usize::try_from(crashes) {
+        Ok(crashes) if crashes < K::MAX_CRASHES => EARLY_REFUSAL_TIME,
+        _ => REFUSAL_TIME,
+    }
+}
+
 /// Returns the id of an endpoint's crash, which all entries derive alike.
 fn crash_id(endpoint: &id::Endpoint, incarnation: Incarnation) -> CrashId {
     // Hashed as data: as a seed, the incarnation could cancel out differences between short endpoint ids.
--- a/crates/direct/src/blame/news.rs
+++ b/crates/direct/src/blame/news.rs
@@ -50,6 +50,8 @@
 pub enum Verdict<K> {
     /// Requests with the subject are refused from now on.
     Refused(K),
+    /// Requests with the subject are refused after a single crash, for a shorter time.
+    RefusedEarly(K),
     /// Requests with the subject are no longer refused.
     Sound(K),
 }
--- a/crates/direct/src/blame/record.rs
+++ b/crates/direct/src/blame/record.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use super::{CRASH_TTL, CrashId};
+use super::{CRASH_TTL, CrashId, REFUSAL_TIME};
 
 /// Least time between two crashes that both count: endpoints that end together have another cause, unless the
 /// request that ran on one of them went there from the other.
@@ -42,10 +42,18 @@
         self.refused_for = u32::try_from(crashes).unwrap_or(u32::MAX);
     }
 
-    /// Returns the number of recent crashes that lie apart from each other or are repeats.
+    /// Returns whether the subject is refused, or was, for at least `crashes` crashes.
+    pub(super) fn is_refused_for(&self, crashes: usize) -> bool {
+        let refused_for = usize::try_from(self.refused_for).unwrap_or(usize::MAX);
+        self.refused_at.is_some() && refused_for >= crashes
+    }
+
+    /// Returns the number of recent crashes that lie apart from each other or are repeats; those of a subject that was
+    /// refused before count for as long as that is remembered.
     pub(super) fn count(&self, now: Instant) -> usize {
+        let ttl = self.refused_at.map_or(CRASH_TTL, |_| REFUSAL_TIME);
         let recent = self.crashes.iter();
-        let recent = recent.filter(|c| now.duration_since(c.at) < CRASH_TTL);
+        let recent = recent.filter(|c| now.duration_since(c.at) < ttl);
         let (repeats, firsts): (Vec<&Known>, _) = recent.partition(|c| c.is_repeat);
         let mut times: Vec<Instant> = firsts.iter().map(|c| c.at).collect();
         times.sort();
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -403,7 +403,7 @@
             Ok(Err(Error::MaybeRun(reason))) => {
                 self.possible_runs += 1;
                 self.log_outcome(&dispatch, "broke before its answer", &reason);
-                self.record_break(&dispatch);
+                self.record_break(&dispatch).await;
                 dispatch.end(Outcome::Broke);
                 Disposition::Unknown(reason.into())
             }
@@ -511,7 +511,7 @@
                     && has_body(&self.head.method, head.status) =>
             {
                 self.log_outcome(&dispatch, "broke amid its answer", "no body and no length");
-                self.record_break(&dispatch);
+                self.record_break(&dispatch).await;
                 dispatch.end(Outcome::Broke);
                 return Disposition::Unknown(SmolStr::new_static("the answer was cut"));
             }
@@ -524,7 +524,7 @@
             Ok(Err(e)) => {
                 self.log_outcome(&dispatch, "broke amid its answer", &e.to_string());
                 if matches!(e, payload::Error::Read(_)) {
-                    self.record_break(&dispatch);
+                    self.record_break(&dispatch).await;
                 }
                 dispatch.end(Outcome::Broke);
                 return Disposition::Unknown(SmolStr::new_static("the answer was cut"));
@@ -589,7 +589,7 @@
             Ok(Err(e)) => {
                 let reason = e.to_string();
                 self.log_outcome(upstream.dispatch(), "broke before its first event", &reason);
-                self.record_break(upstream.dispatch());
+                self.record_break(upstream.dispatch()).await;
                 upstream.abort(Outcome::Broke);
                 return Disposition::Unknown(reason.into());
             }
@@ -626,8 +626,11 @@
 /// # Helpers
 impl Call {
     /// Records that a connection broke before the answer was whole.
-    fn record_break(&self, dispatch: &Dispatch) {
-        dispatch.record_break(&self.request, self.fingerprint, self.possible_runs > 1);
+    async fn record_break(&self, dispatch: &Dispatch) {
+        let is_repeat = self.possible_runs > 1;
+        dispatch
+            .record_break(&self.request, self.fingerprint, is_repeat)
+            .await;
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -199,7 +199,9 @@
 
     /// Records and logs that the connection broke before the answer was whole; `is_repeat` if the request had been
     /// sent on after another break.
-    pub(crate) fn record_break(
+    ///
+    /// While earlier crashes may be unknown, the request is refused if the endpoint has ended.
+    pub(crate) async fn record_break(
         &self,
         request: &metadata::Request,
         fingerprint: Fingerprint,
@@ -224,6 +226,25 @@
             balancer.record_lost_connection(&self.placement, alive_at, now);
             balancer.record_break(&self.placement, fingerprint, parts, is_repeat, now);
         });
+        let Placement {
+            endpoint,
+            address,
+            service,
+            ..
+        } = &self.placement;
+        let is_cautious = self
+            .context
+            .with_balancer(|balancer| balancer.is_cautious(service, now));
+        if !is_cautious {
+            return;
+        }
+        let is_alive = self.context.pool.is_alive(*address).await;
+        log::info!(request:% = request.id, endpoint:% = endpoint, alive = is_alive; "endpoint probed after a break");
+        if !is_alive {
+            let now = Instant::now();
+            self.context
+                .with_balancer(|balancer| balancer.refuse_early(fingerprint, now));
+        }
     }
 
     /// Records that the endpoint has written the whole answer to a request.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -108,6 +108,10 @@
     /// Endpoints that may have restarted.
     #[serde(default)]
     losses: Vec<Loss>,
+    /// Time for which the sender knows which requests crashed endpoints.
+    #[serde(default)]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    crash_memory: Duration,
 }
 
 /// Message that hands credit for endpoints with limits to its receiver.
@@ -340,6 +344,9 @@
             losses: self
                 .context
                 .with_balancer(|balancer| balancer.loss_news(now)),
+            crash_memory: self
+                .context
+                .with_balancer(|balancer| balancer.crash_memory(now)),
         };
         let (near, far) = self.split_by_zone(targets);
         self.send_to(&message, &far).await;
@@ -481,6 +488,7 @@
             }
             balancer.merge_request_news(&message.suspects, now);
             balancer.merge_part_news(&message.parts, now);
+            balancer.merge_crash_memory(message.crash_memory, now);
             if is_recent {
                 balancer.merge_losses(&message.losses, now);
             }
@@ -509,6 +517,10 @@
                     log::warn!(fingerprint:% = format!("{fingerprint:016x}"); "request is refused: endpoints crash under it");
                     "refused"
                 }
+                Verdict::RefusedEarly(fingerprint) => {
+                    log::warn!(fingerprint:% = format!("{fingerprint:016x}"); "request is refused after one crash: earlier ones may be unknown");
+                    "refused-early"
+                }
                 Verdict::Sound(fingerprint) => {
                     log::info!(fingerprint:% = format!("{fingerprint:016x}"); "request is sound");
                     "sound"
@@ -523,7 +535,7 @@
         let parts = self.context.with_balancer(Balancer::take_part_verdicts);
         for verdict in parts {
             match verdict {
-                Verdict::Refused(part) => {
+                Verdict::Refused(part) | Verdict::RefusedEarly(part) => {
                     log::warn!(part:% = part; "prompt part is refused: endpoints crash under it");
                 }
                 Verdict::Sound(part) => log::info!(part:% = part; "prompt part is sound"),
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -18,6 +18,10 @@
 
 /// Time limit for setting up a connection; it leaves time to retransmit one lost SYN packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time limit for setting up a connection that only shows whether an endpoint is alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which such a connection must stay open.
+const PROBE_OPEN_TIME: Duration = Duration::from_millis(50);
 /// Time for which an idle connection may be reused if the endpoint states no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time for which an idle connection may be reused, whatever the endpoint states; connections
@@ -119,6 +123,16 @@
         }
     }
 
+    /// Returns whether an endpoint keeps a new connection open; one whose process has ended refuses, resets or ignores it.
+    pub(crate) async fn is_alive(&self, address: SocketAddr) -> bool {
+        let Ok(Ok(stream)) = time::timeout(PROBE_TIMEOUT, quota::connect(address)).await else {
+            return false;
+        };
+        // A connection that a process accepts no more may be set up while it ends.
+        let closed = time::timeout(PROBE_OPEN_TIME, stream.readable()).await;
+        closed.is_err()
+    }
+
     /// Removes and returns an idle connection that can be reused.
     fn take(&self, endpoint: &id::Endpoint, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
--- a/crates/direct/src/resumption.rs
+++ b/crates/direct/src/resumption.rs
@@ -115,7 +115,9 @@
             Ok(Err(Error::NotSent(reason))) => (Outcome::Unreached, reason),
             Ok(Err(Error::MaybeRun(reason))) => {
                 self.possible_runs += 1;
-                dispatch.record_break(&self.request, self.fingerprint, true);
+                dispatch
+                    .record_break(&self.request, self.fingerprint, true)
+                    .await;
                 (Outcome::Broke, reason)
             }
             Ok(Ok(received)) => {
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -1,7 +1,7 @@
 use std::{
     path::PathBuf,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context as _;
@@ -125,6 +125,13 @@
             known.is_some_and(|known| current.is_available(known, now))
         };
         context.pool.sweep(is_available);
+        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
+        let restarted = context.with_balancer(|balancer| {
+            balancer.observe_starts(&current, unix_time.unwrap_or_default(), now)
+        });
+        for service in restarted {
+            log::info!(service:% = service; "endpoints restarted before this entry started");
+        }
         let (lowest, share, retries) = context.with_balancer(|balancer| {
             balancer.retain_known(&current, now);
             let lowest = balancer.lowest_comfortable_load(&current, now);
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -230,7 +230,8 @@
             let is_repeat = resumption.possible_runs > 1;
             broken
                 .dispatch
-                .record_break(&resumption.request, resumption.fingerprint, is_repeat);
+                .record_break(&resumption.request, resumption.fingerprint, is_repeat)
+                .await;
         }
         broken.abort(Outcome::Broke);
         if is_unnumbered {
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod cold_restarts;
 mod crash_suspects;
 mod demand_rationing;
+mod early_refusal;
 mod end_to_end;
 mod endpoint_limits;
 mod endpoint_notices;
