Take no response for an answer whose status HTTP does not have

Cause: the HTTP library takes three digits from 100 to 999, and `Call` asked only whether a signed answer is a failure of the endpoint, 500 to 599. All else counted as sound, cleared blame, and was not tried elsewhere. The agent of the product's own way did the same.

Change: a status outside 200 to 599 is no answer. The endpoint's health counts it as broken; what may be repeated goes to another endpoint, else the client gets 502; the agent answers bad-answer.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -147,12 +147,17 @@
     }
 }
 
-/// Checks that a response belongs to the attempt, and that its truncation could be detected.
+/// Checks that a response belongs to the attempt, has a status of HTTP, and that its truncation could be detected.
 fn validate(offer: &Offer, response: &Response<Incoming>) -> Result<(), Fault> {
     let answered_id = response.headers().get(ATTEMPT_HEADER);
     if answered_id.is_some_and(|id| id.as_bytes() != attempt_id(offer).as_bytes()) {
         return Err(Fault::new(ErrorKind::BadAnswer).detail("the engine answered another request"));
     }
+    let status = response.status();
+    if !payload::is_final(status) {
+        let detail = format!("the engine's answer has status {}", status.as_str());
+        return Err(Fault::new(ErrorKind::BadAnswer).detail(detail));
+    }
     let chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
     if response.body().size_hint().exact().is_none() && !chunked {
         return Err(Fault::new(ErrorKind::BadAnswer)
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -433,6 +433,12 @@
             dispatch.end(Outcome::Dropped);
             return Disposition::Unknown(SmolStr::new_static("answer to another request"));
         }
+        if !payload::is_final(head.status) {
+            self.possible_runs += 1;
+            self.log_outcome(&dispatch, "answer has no HTTP status", head.status.as_str());
+            dispatch.end(Outcome::Broke);
+            return Disposition::Unknown(SmolStr::new_static("answer has no HTTP status"));
+        }
         if !metadata.misdirected {
             dispatch.record_answer(&connection);
         }
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -49,6 +49,8 @@
     /// Whether responses carry the id of another attempt.
     #[serde(rename = "crossed")]
     pub wrong_attempt_id: bool,
+    /// Status of responses to drafts, from 200 to 999; 0 stands for 200.
+    pub status: u16,
 }
 
 impl Default for Behaviour {
@@ -63,6 +65,7 @@
             crash_word: None,
             stalled: false,
             wrong_attempt_id: false,
+            status: 0,
         }
     }
 }
@@ -221,6 +224,9 @@
         let crashed = self.crash_token();
         self.crash_if_fatal(&prompt);
         let mut response = Response::new(self.clone().stream(prompt, slot, crashed));
+        if let Ok(status) = StatusCode::from_u16(self.behaviour().status) {
+            *response.status_mut() = status;
+        }
         let headers = response.headers_mut();
         headers.insert(
             header::CONTENT_TYPE,
--- a/crates/fake/tests/suite/complete_responses.rs
+++ b/crates/fake/tests/suite/complete_responses.rs
@@ -57,6 +57,28 @@
     assert!(count.is_some_and(|count| count != "0"), "{text}");
 }
 
+/// Guards against an engine's answer with a status that HTTP does not have, and that reaches the client as an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_status() {
+    let fleet = Fleet::start(Topology::default()).await.unwrap();
+    let entry = fleet.client_address("entry-a-0").unwrap();
+    let engine: SocketAddr = fleet.backends["drafts-a-0"].ready_line().parse().unwrap();
+    for status in [600, 777, 999] {
+        let body = format!(r#"{{ "status": {status} }}"#);
+        let control = Client::new("", false);
+        let response = control.send("POST", engine, "/control", &[], body).await;
+        assert!(response.unwrap().status.is_success());
+        let client = Client::new(TEAM_KEY, false);
+        let response = client.request_draft(entry, "p", 4).await.unwrap();
+        assert_eq!(response.status, 502, "{response:?}");
+        assert_eq!(
+            response.json()["type"],
+            "urn:apricotridge:problem:bad-answer"
+        );
+        assert_eq!(response.json()["run"], "unknown");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connection() {
     let mut fleet = Fleet::start(Topology::default()).await.unwrap();
--- a/crates/payload/src/lib.rs
+++ b/crates/payload/src/lib.rs
@@ -1,12 +1,14 @@
 //! Bodies of HTTP messages that are read into memory, with limits on their bytes and their frames.
 //!
 //! A limit in bytes alone does not bound the time to read a body: 1 MiB in chunks of 5 bytes is more
-//! than 200,000 frames.
+//! than 200,000 frames. [`is_final`] tells whether a message has a status that a response can end with.
 
 mod allowance;
 mod collect;
 mod message;
+mod status;
 
 pub use allowance::{Allowance, Exceeded, FRAME_BYTES, MIN_FRAMES};
 pub use collect::{Error, collect, receive};
 pub use message::{Message, Outgoing};
+pub use status::is_final;
