Bound the bytes that are read without a part of a message

Cause: the HTTP library limits a head and each extension and trailer; interim responses and leading zeros have no limit by sum.

Change: payload::Meter counts the bytes of a connection since the last head or frame of a body, and ends it above 1 MiB.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -470,7 +470,7 @@
         dispatch: Dispatch,
         head: &response::Parts,
         metadata: &metadata::Response,
-        body: Incoming,
+        body: pool::Body,
         connection: Connection,
     ) -> Disposition {
         self.log_outcome(&dispatch, "declined", head.status.as_str());
@@ -496,7 +496,7 @@
         &self,
         dispatch: Dispatch,
         head: response::Parts,
-        body: Incoming,
+        body: pool::Body,
         connection: Connection,
     ) -> Disposition {
         let collected = time::timeout_at(
@@ -583,7 +583,7 @@
         &mut self,
         dispatch: Dispatch,
         head: response::Parts,
-        body: Incoming,
+        body: pool::Body,
         connection: Connection,
     ) -> Disposition {
         let is_resumable = self.route.repeat == Repeat::Resumable;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -9,10 +9,13 @@
 use http::{Request, Response, header};
 use hyper::{
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
 };
 use hyper_util::rt::TokioIo;
-use payload::Outgoing;
+use payload::{Meter, Metered, Outgoing};
 use tokio::time::{self, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -43,6 +46,9 @@
     MaybeRun(String),
 }
 
+/// Body of a response, whose frames count as progress of its connection.
+pub(crate) type Body = Metered<Incoming>;
+
 /// Pool of idle connections to endpoints.
 ///
 /// Lock order: `idle` is the only lock and is never held across an await.
@@ -55,6 +61,7 @@
 pub(crate) struct Connection {
     sender: SendRequest<Outgoing>,
     _driver: AbortOnDropHandle<()>,
+    meter: Meter,
     endpoint: id::Endpoint,
     address: SocketAddr,
     opened_at: Instant,
@@ -65,7 +72,7 @@
 /// Response whose body is still to be read, with the connection that carries it.
 pub(crate) struct Received {
     /// Response with the unread body.
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<Body>,
     /// Connection that carries the response.
     pub(crate) connection: Connection,
     /// Whether the connection was set up for this request.
@@ -73,6 +80,17 @@
 }
 
 impl Connection {
+    /// Sends a request and waits for the head of the response.
+    async fn exchange(
+        &mut self,
+        request: Request<Outgoing>,
+    ) -> Result<Response<Body>, TrySendError<Request<Outgoing>>> {
+        self.meter.record_part();
+        let response = self.sender.try_send_request(request).await?;
+        self.meter.record_part();
+        Ok(response.map(|body| self.meter.wrap(body)))
+    }
+
     /// Returns the time at which the connection was set up.
     pub(crate) const fn opened_at(&self) -> Instant {
         self.opened_at
@@ -95,7 +113,7 @@
         force_new: bool,
     ) -> Result<Received, Error> {
         while let Some(mut connection) = self.take(endpoint, address).filter(|_| !force_new) {
-            match connection.sender.try_send_request(request).await {
+            match connection.exchange(request).await {
                 Ok(response) => {
                     return Ok(Received {
                         response,
@@ -110,7 +128,7 @@
             }
         }
         let mut connection = connect(endpoint, address).await.map_err(Error::NotSent)?;
-        match connection.sender.try_send_request(request).await {
+        match connection.exchange(request).await {
             Ok(response) => Ok(Received {
                 response,
                 connection,
@@ -203,9 +221,10 @@
         Err(_) => return Err("connection timed out".to_owned()),
     };
     node::configure_socket(&stream).map_err(|e| format!("socket options cannot be set: {e}"))?;
+    let meter = Meter::default();
     let (sender, io) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(meter.wrap(stream)))
         .await
         .map_err(|e| format_error(&e))?;
     let driver = tokio::spawn(async move {
@@ -216,6 +235,7 @@
     Ok(Connection {
         sender,
         _driver: AbortOnDropHandle::new(driver),
+        meter,
         endpoint: endpoint.clone(),
         address,
         opened_at: Instant::now(),
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -4,7 +4,7 @@
 use futures::stream;
 use http::response;
 use http_body_util::{BodyExt as _, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use tokio::time::{self, Instant};
 
 use crate::{
@@ -39,7 +39,7 @@
 /// Event stream from one endpoint.
 pub(crate) struct Upstream {
     dispatch: Dispatch,
-    body: Incoming,
+    body: pool::Body,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     splitter: Splitter,
@@ -59,7 +59,7 @@
     /// Starts to read a stream; events up to the one with the id `last_id` are left out.
     pub(crate) fn new(
         dispatch: Dispatch,
-        body: Incoming,
+        body: pool::Body,
         connection: Connection,
         head: &response::Parts,
         last_id: Option<events::Id>,
--- a/crates/payload/src/lib.rs
+++ b/crates/payload/src/lib.rs
@@ -6,9 +6,11 @@
 mod allowance;
 mod collect;
 mod message;
+mod metered;
 mod status;
 
 pub use allowance::{Allowance, Exceeded, FRAME_BYTES, MIN_FRAMES};
 pub use collect::{Error, collect, receive};
 pub use message::{Message, Outgoing};
+pub use metered::{Meter, Metered};
 pub use status::is_final;
