Let agents remember what is refused

Cause: no process that outlives the entries knew what they refuse.

Change: entries tell agents, in the answers to the state of a group, what they refuse; in calm nothing is sent. An entry that knows less than ten minutes back asks the agents from which a state comes in, and is told the refusals and how far back they reach. Agents decide nothing, drop what entries no longer tell of, and vouch for no time without contact. Nothing shared is written. Types of refusals move to the crate `group`.

Weighed: a setting for the agents' part (they know the first start by the same field as entries); sending the refusals with each state (traffic in calm).

--- a/crates/direct/src/balancer/exchange.rs
+++ b/crates/direct/src/balancer/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use conf::id;
+use group::{MAX_REFUSALS, Refusals, Subject};
 use tokio::time::Instant;
 
 use super::{Balancer, CONTACT_TIME, DISCOVERY_TIME, ENTRY_MEMORY};
@@ -132,6 +133,37 @@
         self.caution.memory(now)
     }
 
+    /// Returns what agents are told of refused requests and prompt parts.
+    #[must_use]
+    pub fn refusals(&self, now: Instant) -> Refusals {
+        let limit = MAX_REFUSALS / 2;
+        let requests = self.suspects.refusals(limit, now).into_iter();
+        let requests = requests.map(|refusal| refusal.map(Subject::Request));
+        let parts = self.blame.refusals(limit, now).into_iter();
+        let parts = parts.map(|refusal| refusal.map(Subject::Part));
+        Refusals {
+            memory: self.caution.memory(now),
+            refused: requests.chain(parts).collect(),
+        }
+    }
+
+    /// Applies what an agent remembers of refused requests and prompt parts.
+    pub fn merge_refusals(&mut self, refusals: &Refusals, now: Instant) {
+        for refusal in &refusals.refused {
+            match refusal.subject.clone() {
+                Subject::Request(request) => {
+                    let refusal = refusal.clone().map(|_| request);
+                    self.suspects.merge_refusal(&refusal, now);
+                }
+                Subject::Part(part) => {
+                    let refusal = refusal.clone().map(|_| part);
+                    self.blame.merge_refusal(&refusal, now);
+                }
+            }
+        }
+        self.caution.merge(refusals.memory, now);
+    }
+
     /// Records how far back another entry knows which requests crashed endpoints.
     pub fn merge_crash_memory(&mut self, memory: Duration, now: Instant) {
         self.caution.merge(memory, now);
--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -7,21 +7,20 @@
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use conf::id;
+use group::{REFUSAL_TIME, Refusal};
 use rand::seq::IteratorRandom as _;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
 use self::record::{Known, Record};
 pub use self::{
-    news::{Crash, CrashId, News, Refusal, Verdict},
+    news::{Crash, CrashId, News, Verdict},
     subject::{Fingerprint, Part, Subject},
 };
 use crate::departures::Incarnation;
 
 /// Time for which a crash counts against a subject.
 const CRASH_TTL: Duration = Duration::from_secs(60);
-/// Time for which a subject is refused.
-pub(crate) const REFUSAL_TIME: Duration = Duration::from_secs(600);
 /// Time for which a subject is refused after a single crash; a second one within [`REFUSAL_TIME`] counts with the first.
 const EARLY_REFUSAL_TIME: Duration = Duration::from_secs(60);
 /// Time between the break of a connection and the sign that its endpoint has ended: the store drops the
@@ -292,20 +291,11 @@
             age: now.duration_since(known.at),
             is_repeat: known.is_repeat,
         });
-        let refused = self.records.iter().filter_map(|(subject, record)| {
-            let age = now.duration_since(record.refused_at?);
-            (age < REFUSAL_TIME).then(|| Refusal {
-                subject: subject.clone(),
-                age,
-                crashes: record.refused_for,
-            })
-        });
         let sound = self.rebuttals.iter().rev();
         let sound = sound.filter(|(_, at)| is_recent(*at));
         News {
             crashes: crashes.take(MAX_NEWS).collect(),
-            // A sample, so that all are told in some messages.
-            refused: refused.sample(&mut rand::rng(), MAX_NEWS),
+            refused: self.refusals(MAX_NEWS, now),
             sound: sound
                 .map(|(subject, _)| subject.clone())
                 .take(MAX_NEWS)
@@ -341,7 +331,23 @@
         }
     }
 
-    fn merge_refusal(&mut self, refusal: &Refusal<K>, now: Instant) {
+    /// Lists up to `limit` refused subjects, a sample if they are more.
+    #[must_use]
+    pub fn refusals(&self, limit: usize, now: Instant) -> Vec<Refusal<K>> {
+        let refused = self.records.iter().filter_map(|(subject, record)| {
+            let age = now.duration_since(record.refused_at?);
+            (age < REFUSAL_TIME).then(|| Refusal {
+                subject: subject.clone(),
+                age,
+                crashes: record.refused_for,
+            })
+        });
+        // A sample, so that all are told in some messages.
+        refused.sample(&mut rand::rng(), limit)
+    }
+
+    /// Applies what another process tells of a refused subject.
+    pub fn merge_refusal(&mut self, refusal: &Refusal<K>, now: Instant) {
         let Refusal {
             subject,
             age,
--- a/crates/direct/src/blame/news.rs
+++ b/crates/direct/src/blame/news.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use group::Refusal;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -21,19 +22,6 @@
     pub is_repeat: bool,
 }
 
-/// Subject that is refused.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Refusal<K> {
-    /// Subject that is refused.
-    pub subject: K,
-    /// Time since it has been.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
-    /// Number of crashes for which it is.
-    pub crashes: u32,
-}
-
 /// What an entry tells others of blamed subjects.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct News<K> {
--- a/crates/direct/src/blame/record.rs
+++ b/crates/direct/src/blame/record.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
+use group::REFUSAL_TIME;
 use tokio::time::Instant;
 
-use super::{CRASH_TTL, CrashId, REFUSAL_TIME};
+use super::{CRASH_TTL, CrashId};
 
 /// Least time between two crashes that both count: endpoints that end together have another cause, unless the
 /// request that ran on one of them went there from the other.
--- a/crates/direct/src/caution.rs
+++ b/crates/direct/src/caution.rs
@@ -5,10 +5,9 @@
 
 use conf::id;
 use fleet::View;
+use group::REFUSAL_TIME;
 use tokio::time::Instant;
 
-use crate::blame::REFUSAL_TIME;
-
 /// Time after the first endpoints are known in which those that ended just before the start come back.
 const OBSERVATION_TIME: Duration = Duration::from_secs(5);
 /// Least time between the starts of two endpoints of a service that did not start together.
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -1,13 +1,17 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context as _;
-use group::{Datagram, MAX_BYTES, MAX_ENTRIES, Status};
+use group::{Datagram, MAX_BYTES, MAX_ENTRIES, REFUSAL_TIME, Status};
 use tokio::{
     net::UdpSocket,
     time::{self, Instant},
 };
 
-use crate::{Settings, call::Context, gossip::Gossip};
+use crate::{
+    Settings,
+    call::{Context, millis},
+    gossip::Gossip,
+};
 
 /// Number of entries to which news of a group are passed on.
 const FORWARD_FANOUT: usize = 6;
@@ -20,7 +24,7 @@
 /// Delay after a datagram could not be received.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Receives the news of groups that agents send, and passes them on to other entries.
+/// Receives the news of groups that agents send, and passes them on to other entries; has agents remember what is refused.
 pub(crate) struct Groups {
     socket: UdpSocket,
     address: SocketAddr,
@@ -93,8 +97,7 @@
                     self.send(&Datagram::Status(status), &targets).await;
                 }
                 if !self.gossip.is_member(from.ip()) {
-                    let others = self.others(MAX_ENTRIES);
-                    self.send(&Datagram::Entries(others), &[from]).await;
+                    self.answer_agent(from).await;
                 }
             }
             Datagram::Ask => {
@@ -105,7 +108,32 @@
                     self.send(&Datagram::Status(status), &[from]).await;
                 }
             }
-            Datagram::Entries(_) => log::debug!("unexpected datagram from {from}"),
+            Datagram::Refusals(refusals) => {
+                let (count, memory) = (refusals.refused.len(), refusals.memory);
+                log::info!(agent:% = from, refused = count, memory_ms = millis(memory); "an agent remembers");
+                self.context
+                    .with_balancer(|balancer| balancer.merge_refusals(&refusals, Instant::now()));
+            }
+            Datagram::Entries(_) | Datagram::AskRefusals => {
+                log::debug!("unexpected datagram from {from}");
+            }
+        }
+    }
+
+    /// Tells an agent where other entries are and what is refused; asks it for the latter while that may be unknown.
+    async fn answer_agent(&self, agent: SocketAddr) {
+        let others = self.others(MAX_ENTRIES);
+        self.send(&Datagram::Entries(others), &[agent]).await;
+        let now = Instant::now();
+        let refusals = self
+            .context
+            .with_balancer(|balancer| balancer.refusals(now));
+        let is_unsure = refusals.memory < REFUSAL_TIME;
+        if !refusals.refused.is_empty() {
+            self.send(&Datagram::Refusals(refusals), &[agent]).await;
+        }
+        if is_unsure {
+            self.send(&Datagram::AskRefusals, &[agent]).await;
         }
     }
 
--- a/crates/direct/tests/suite/early_refusal.rs
+++ b/crates/direct/tests/suite/early_refusal.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use direct::{Blame, Caution, Fingerprint};
+use direct::{Balancer, Blame, Caution, Fingerprint};
 use fleet::View;
+use group::Memory;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use tokio::time::{self, Instant};
 
-use crate::support::view;
+use crate::support::{attempt, bounds, view};
 
 /// Time at which the tests take place, since the Unix epoch.
 const UNIX_TIME: Duration = Duration::from_secs(1_800_000_000);
@@ -215,3 +216,58 @@
         );
     }
 }
+
+/// Load pattern: as above, at three entries before twelve agents, which entries that start hear from. No end allows a further
+/// crash, and none is needed to tell sound requests from the one that crashes.
+#[tokio::test(start_paused = true)]
+async fn agents_remember() {
+    let (view, service) = (restarted_view(), "drafts".into());
+    let mut random = SmallRng::seed_from_u64(1);
+    let start = |seed| Balancer::new("a".into(), bounds(), seed, Instant::now());
+    let mut entries: Vec<Balancer> = (0..3).map(|seed| start(seed).first_start()).collect();
+    let mut agents = vec![Memory::new(Instant::now()).first_start(); 12];
+    let (mut crashes, mut refused) = (0, 0);
+    for step in 0..600_u64 {
+        time::advance(Duration::from_millis(100)).await;
+        let now = Instant::now();
+        if step > 0 && step % 120 == 0 {
+            entries = (0..3).map(start).collect();
+        }
+        for entry in &mut entries {
+            entry.observe_starts(&view, UNIX_TIME, now);
+        }
+        // An agent sends its status; the entry tells what it knows, and asks if that may not be all.
+        let agent = &mut agents[random.random_range(0..12)];
+        let entry = &mut entries[random.random_range(0..3)];
+        let known = entry.refusals(now);
+        agent.record_contact(now);
+        if !known.refused.is_empty() {
+            agent.record(&known, now);
+        }
+        if known.memory < Duration::from_secs(600) {
+            entry.merge_refusals(&agent.refusals(now), now);
+        }
+        if step % 10 != 5 || step % 120 < 60 {
+            continue;
+        }
+        let entry = &mut entries[random.random_range(0..3)];
+        assert!(!entry.is_cautious("drafts", now), "agents know all");
+        for is_repeat in [false, true] {
+            let mut request = attempt(&service);
+            (request.fingerprint, request.is_retry) = (REQUEST, is_repeat);
+            match entry.choose(&view, &request, now) {
+                Ok(placement) => {
+                    entry.record_break(&placement, REQUEST, &[], is_repeat, now);
+                    crashes += 1;
+                }
+                Err(_) => refused += 1,
+            }
+        }
+        // Other entries hear of the crashes.
+        let news = entry.request_news(now);
+        entries
+            .iter_mut()
+            .for_each(|entry| entry.merge_request_news(&news, now));
+    }
+    assert_eq!(crashes, 2, "{refused} refused");
+}
--- a/crates/group/src/datagram.rs
+++ b/crates/group/src/datagram.rs
@@ -2,14 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Status;
+use crate::{Refusals, Status};
 
 /// Size of the largest datagram in bytes: a group of 128 ranks with short names.
 pub const MAX_BYTES: usize = 4096;
 /// Maximum number of addresses of entries in one datagram.
 pub const MAX_ENTRIES: usize = 16;
 
-/// Message between agents and entries, and among entries.
+/// Message between agents and entries, and among entries; one with an unknown kind is dropped.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Datagram {
@@ -19,6 +19,10 @@
     Ask,
     /// Addresses at which other entries receive datagrams; the answer to an agent's status.
     Entries(Vec<SocketAddr>),
+    /// Asks an agent what it knows of refused subjects.
+    AskRefusals,
+    /// What the sender knows of refused subjects, from an entry to an agent and back.
+    Refusals(Refusals),
 }
 
 impl Datagram {
--- a/crates/group/tests/suite/datagram_size.rs
+++ b/crates/group/tests/suite/datagram_size.rs
@@ -1,6 +1,6 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use group::{Datagram, MAX_BYTES, Status};
+use group::{Datagram, MAX_BYTES, MAX_REFUSALS, Refusal, Refusals, Status, Subject};
 
 fn status(ranks: u16) -> Status {
     Status {
@@ -14,12 +14,31 @@
     }
 }
 
+/// Returns as many refusals as a datagram has, with the longest ids of parts that entries keep.
+fn refusals() -> Refusals {
+    let refused = (0..MAX_REFUSALS).map(|number| Refusal {
+        subject: match number % 2 {
+            0 => Subject::Request(u64::MAX - number as u64),
+            _ => Subject::Part(format!("{number:032x}").into()),
+        },
+        age: Duration::from_millis(599_999),
+        crashes: 1000,
+    });
+    Refusals {
+        memory: Duration::from_secs(600),
+        refused: refused.collect(),
+    }
+}
+
 #[test]
 fn datagrams_decoded() {
     let datagrams = [
         Datagram::Status(status(64)),
         Datagram::Ask,
         Datagram::Entries(vec![([10, 1, 0, 40], 7342).into()]),
+        Datagram::AskRefusals,
+        Datagram::Refusals(refusals()),
+        Datagram::Refusals(Refusals::default()),
     ];
     for datagram in datagrams {
         assert_eq!(Datagram::decode(&datagram.encode().unwrap()), Ok(datagram));
--- a/crates/group/tests/suite/main.rs
+++ b/crates/group/tests/suite/main.rs
@@ -2,3 +2,4 @@
 
 mod datagram_size;
 mod group_news;
+mod refusal_memory;
--- a/crates/steer/src/announce.rs
+++ b/crates/steer/src/announce.rs
@@ -1,14 +1,14 @@
-//! Sends the state of this agent's group to entries.
+//! Sends the state of this agent's group to entries, and remembers for them what they refuse.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use conf::id;
-use group::{Datagram, MAX_BYTES, Status};
+use group::{Datagram, MAX_BYTES, Memory, Status};
 use rand::seq::IteratorRandom as _;
 use tokio::{
     net::UdpSocket,
@@ -33,9 +33,9 @@
 const MAX_KNOWN: usize = 64;
 
 /// Sends the state of the group of the agent's own engine to entries, and learns from their answers
-/// where others are.
+/// where others are and what they refuse, which it tells entries that start.
 ///
-/// Lock order: `group` and `entries` are each taken alone and never held across an await.
+/// Lock order: `group`, `entries` and `memory` are each taken alone and never held across an await.
 pub(crate) struct Announcer {
     socket: UdpSocket,
     service: id::Service,
@@ -43,6 +43,8 @@
     group: Mutex<Option<Group>>,
     /// Known entries and when each answered last.
     entries: Mutex<HashMap<SocketAddr, Option<Instant>>>,
+    /// What entries refuse.
+    memory: Mutex<Memory>,
 }
 
 impl Announcer {
@@ -53,6 +55,7 @@
         service: id::Service,
         seeds: &[SocketAddr],
         peers: Arc<Peers>,
+        memory: Memory,
     ) -> std::io::Result<Arc<Self>> {
         let port = socket.local_addr()?.port();
         let entries = seeds
@@ -64,6 +67,7 @@
             peers,
             group: Mutex::default(),
             entries: Mutex::new(entries.collect()),
+            memory: Mutex::new(memory),
         }))
     }
 
@@ -153,8 +157,7 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, from)) => match Datagram::decode(&buffer[..length]) {
-                    Ok(Datagram::Entries(others)) => self.record_entries(from, others),
-                    Ok(_) => log::debug!("unexpected datagram from {from}"),
+                    Ok(datagram) => self.handle(datagram, from).await,
                     Err(reason) => log::debug!("datagram from {from} cannot be decoded: {reason}"),
                 },
                 Err(e) => {
@@ -165,6 +168,45 @@
         }
     }
 
+    async fn handle(&self, datagram: Datagram, from: SocketAddr) {
+        let now = Instant::now();
+        match datagram {
+            Datagram::Entries(others) => {
+                self.record_entries(from, others);
+                self.memory().record_contact(now);
+            }
+            Datagram::Refusals(refusals) => self.memory().record(&refusals, now),
+            Datagram::AskRefusals => {
+                let refusals = self.memory().refusals(now);
+                let (count, memory) = (refusals.refused.len(), refusals.memory.as_secs());
+                log::info!(entry:% = from, refused = count, memory_s = memory; "refusals are told to an entry");
+                self.send_datagram(&Datagram::Refusals(refusals), from)
+                    .await;
+            }
+            Datagram::Ask | Datagram::Status(_) => {
+                log::debug!("unexpected datagram from {from}");
+            }
+        }
+    }
+
+    async fn send_datagram(&self, datagram: &Datagram, entry: SocketAddr) {
+        let bytes = match datagram.encode() {
+            Ok(bytes) => bytes,
+            Err(reason) => {
+                log::warn!(reason = reason; "datagram cannot be encoded");
+                return;
+            }
+        };
+        if let Err(e) = self.socket.send_to(&bytes, entry).await {
+            log::debug!("datagram to {entry} cannot be sent: {e}");
+        }
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        // Records are replaced whole, so a panic leaves a valid table.
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn record_entries(&self, from: SocketAddr, others: Vec<SocketAddr>) {
         let now = Instant::now();
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -3,12 +3,13 @@
 use anyhow::Context as _;
 use conf::id;
 use fleet::{Always, Follower, Source};
+use group::Memory;
 use node::probe;
 use prometheus::Registry;
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
-    time,
+    time::{self, Instant},
 };
 
 use crate::{
@@ -47,11 +48,16 @@
     let groups = UdpSocket::bind(settings.listen.groups)
         .await
         .context("field `listen.groups`")?;
+    let mut memory = Memory::new(Instant::now());
+    if settings.first_start {
+        memory = memory.first_start();
+    }
     let announcer = Announcer::new(
         groups,
         settings.service.clone(),
         &settings.seeds,
         peers.clone(),
+        memory,
     )?;
     let operators = TcpListener::bind(settings.listen.operators)
         .await
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -25,6 +25,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Service that the engine runs.
     pub service: id::Service,
+    /// Whether the whole fleet starts for the first time, so that no entry ran before.
+    #[serde(default)]
+    pub first_start: bool,
     /// Thresholds and limits for changing the map.
     #[serde(default)]
     pub map: Tuning,
