--- a/crates/direct/src/balancer/exchange.rs
+++ b/crates/direct/src/balancer/exchange.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use conf::id;
-use group::{MAX_REFUSALS, Refusals, Subject};
+use group::{MAX_REFUSALS, Refusal, Refusals, Subject};
 use tokio::time::Instant;
 
 use super::{Balancer, CONTACT_TIME, DISCOVERY_TIME, ENTRY_MEMORY};
@@ -148,15 +148,28 @@
     }
 
     /// Applies what an agent remembers of refused requests and prompt parts.
-    pub fn merge_refusals(&mut self, refusals: &Refusals, now: Instant) {
-        for refusal in &refusals.refused {
-            match refusal.subject.clone() {
-                Subject::Request(request) => {
-                    let refusal = refusal.clone().map(|_| request);
+    pub fn merge_refusals(&mut self, refusals: Refusals, now: Instant) {
+        for refusal in refusals.refused {
+            let Refusal {
+                subject,
+                age,
+                crashes,
+            } = refusal;
+            match subject {
+                Subject::Request(subject) => {
+                    let refusal = Refusal {
+                        subject,
+                        age,
+                        crashes,
+                    };
                     self.suspects.merge_refusal(&refusal, now);
                 }
-                Subject::Part(part) => {
-                    let refusal = refusal.clone().map(|_| part);
+                Subject::Part(subject) => {
+                    let refusal = Refusal {
+                        subject,
+                        age,
+                        crashes,
+                    };
                     self.blame.merge_refusal(&refusal, now);
                 }
             }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -37,7 +37,7 @@
     pub bytes: Bytes,
     /// Id of the last event that has one.
     pub last_id: Option<Id>,
-    /// Whether events with data but without an id follow the last one that has an id, so that nothing can be resumed after them.
+    /// Whether events with data follow the last one that has an id, so that a stream cannot be resumed after them.
     pub is_unnumbered: bool,
     /// Number of events.
     pub count: u32,
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -112,7 +112,7 @@
                 let (count, memory) = (refusals.refused.len(), refusals.memory);
                 log::info!(agent:% = from, refused = count, memory_ms = millis(memory); "an agent remembers");
                 self.context
-                    .with_balancer(|balancer| balancer.merge_refusals(&refusals, Instant::now()));
+                    .with_balancer(|balancer| balancer.merge_refusals(refusals, Instant::now()));
             }
             Datagram::Entries(_) | Datagram::AskRefusals => {
                 log::debug!("unexpected datagram from {from}");
--- a/crates/direct/tests/suite/early_refusal.rs
+++ b/crates/direct/tests/suite/early_refusal.rs
@@ -245,7 +245,7 @@
             agent.record(&known, now);
         }
         if known.memory < Duration::from_secs(600) {
-            entry.merge_refusals(&agent.refusals(now), now);
+            entry.merge_refusals(agent.refusals(now), now);
         }
         if step % 10 != 5 || step % 120 < 60 {
             continue;
--- a/crates/payload/src/metered.rs
+++ b/crates/payload/src/metered.rs
@@ -23,6 +23,7 @@
 
 impl Meter {
     /// Counts what is read from a connection, or the frames of a body that comes over it.
+    #[must_use]
     pub fn wrap<T>(&self, inner: T) -> Metered<T> {
         Metered {
             inner,
--- a/crates/steer/src/announce.rs
+++ b/crates/steer/src/announce.rs
@@ -104,7 +104,8 @@
                     CHANGE_FANOUT
                 }
             };
-            self.send(&status, fanout, now).await;
+            let targets = self.targets(fanout, now);
+            self.send(&Datagram::Status(status.clone()), &targets).await;
             sent = Some((status, now));
         }
     }
@@ -124,17 +125,17 @@
         })
     }
 
-    async fn send(&self, status: &Status, fanout: usize, now: Instant) {
-        let bytes = match Datagram::Status(status.clone()).encode() {
+    async fn send(&self, datagram: &Datagram, targets: &[SocketAddr]) {
+        let bytes = match datagram.encode() {
             Ok(bytes) => bytes,
             Err(reason) => {
-                log::warn!(group:% = status.group, reason = reason; "group cannot be announced");
+                log::warn!(reason = reason; "datagram cannot be encoded");
                 return;
             }
         };
-        for entry in self.targets(fanout, now) {
+        for entry in targets {
             if let Err(e) = self.socket.send_to(&bytes, entry).await {
-                log::debug!("sending the state of the group to {entry} failed: {e}");
+                log::debug!("datagram to {entry} cannot be sent: {e}");
             }
         }
     }
@@ -180,8 +181,7 @@
                 let refusals = self.memory().refusals(now);
                 let (count, memory) = (refusals.refused.len(), refusals.memory.as_secs());
                 log::info!(entry:% = from, refused = count, memory_s = memory; "refusals are told to an entry");
-                self.send_datagram(&Datagram::Refusals(refusals), from)
-                    .await;
+                self.send(&Datagram::Refusals(refusals), &[from]).await;
             }
             Datagram::Ask | Datagram::Status(_) => {
                 log::debug!("unexpected datagram from {from}");
@@ -189,19 +189,6 @@
         }
     }
 
-    async fn send_datagram(&self, datagram: &Datagram, entry: SocketAddr) {
-        let bytes = match datagram.encode() {
-            Ok(bytes) => bytes,
-            Err(reason) => {
-                log::warn!(reason = reason; "datagram cannot be encoded");
-                return;
-            }
-        };
-        if let Err(e) = self.socket.send_to(&bytes, entry).await {
-            log::debug!("datagram to {entry} cannot be sent: {e}");
-        }
-    }
-
     fn memory(&self) -> MutexGuard<'_, Memory> {
         // Records are replaced whole, so a panic leaves a valid table.
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
