--- a/crates/fake/tests/crowd/main.rs
+++ b/crates/fake/tests/crowd/main.rs
@@ -3,6 +3,8 @@
 //! The tests run one at a time. They check that entry and agent live, that their memory and descriptors stay within those of
 //! the smallest VMs of their roles, and that one ordinary request is answered afterwards.
 
+mod endless_answers;
+
 use std::{fs, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
