direct: Borrow the view once when a refusal is logged

What callers saw: nothing any more. An entry whose threads wait for the view of the store accepts connections, answers none and runs until it is killed.

Cause: the line of the log for a refused request borrowed the view twice within the arguments of the macro, for `version` and for `covered`. Both guards live until the line is written. If the view is replaced between the two, the replacement waits for the first guard and the second borrow waits for the replacement, since a waiting writer goes before further readers. From then on each request waits too.

Change: the view, a shared pointer, is cloned before the line. Why this works: no guard is alive when another lock is taken, whatever the order. Refusals do not hold up replacements while a line is written either.

Test: `view_changes::refusals_answered`, 40,000 refusals over 8 connections while the store answers each watch at once. `start_following` is split out of `start_observed` in the tests for it.

Looked through for the same: all statements with two locks or borrows, locks in macros' arguments and in conditions with a block, in programs and tests. No further one.

--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -52,14 +52,16 @@
         .requests
         .with_label_values(&[fault.kind().name()])
         .inc();
+    // The view must not be borrowed within the macro, which would hold it until the line is written.
+    let view = context.view.borrow().clone();
     log::info!(
         request:% = id,
         status = status.as_u16(),
         reason:% = fault,
         run = run,
         retry_after_ms = fault.retry_delay().map_or(0, millis),
-        version = context.view.borrow().configuration.as_ref().map_or(0, |c| c.version),
-        covered:% = context.view.borrow().covered,
+        version = view.configuration.as_ref().map_or(0, |c| c.version),
+        covered:% = view.covered,
         age_ms = millis(age);
         "refused"
     );
--- a/crates/direct/tests/suite/end_to_end.rs
+++ b/crates/direct/tests/suite/end_to_end.rs
@@ -271,25 +271,6 @@
     service: &str,
     endpoints: &[&TestEndpoint],
 ) -> (SocketAddr, SocketAddr) {
-    let (address, operators) = (unused_address(), unused_address());
-    let settings = Settings {
-        name: "entry-a".into(),
-        zone: "a".into(),
-        listen: Listen {
-            callers: address,
-            ready: unused_address(),
-            peers: unused_address(),
-            gossip: unused_address(),
-            groups: unused_address(),
-            operators,
-        },
-        store: unused_address(),
-        seeds: Vec::new(),
-        first_start: true,
-        bounds: support::bounds(),
-        limits: conf::Limits::default(),
-        log: conf::Level::Info,
-    };
     let mut changes = vec![Change::Put(Item {
         key: "configuration".into(),
         revision: 1.into(),
@@ -310,7 +291,30 @@
         keys: None,
         lapsing: Duration::ZERO,
     };
-    let source = Arc::new(FixedStore(Mutex::new(Some(page))));
+    start_following(Arc::new(FixedStore(Mutex::new(Some(page))))).await
+}
+
+/// Starts an entry that follows a store; returns its addresses for clients and for operators.
+pub(crate) async fn start_following(source: Arc<dyn Source>) -> (SocketAddr, SocketAddr) {
+    let (address, operators) = (unused_address(), unused_address());
+    let settings = Settings {
+        name: "entry-a".into(),
+        zone: "a".into(),
+        listen: Listen {
+            callers: address,
+            ready: unused_address(),
+            peers: unused_address(),
+            gossip: unused_address(),
+            groups: unused_address(),
+            operators,
+        },
+        store: unused_address(),
+        seeds: Vec::new(),
+        first_start: true,
+        bounds: support::bounds(),
+        limits: conf::Limits::default(),
+        log: conf::Level::Info,
+    };
     tokio::spawn(direct::run(
         settings,
         PathBuf::from("/nowhere"),
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -22,4 +22,5 @@
 mod retry_budget;
 mod settings_errors;
 mod support;
+mod view_changes;
 mod zone_choice;
