direct: Pass on later events with the same id

What callers saw: of events with the same id that is no number, only the first arrived when the others came in later packets, and the stream ended as complete.

Cause: each event is compared with the last one that was passed on, so that a stream which is resumed does not repeat events. Two numbers tell which event is later, two equal texts do not.

Change: an id that is no number is compared only until the endpoint has sent an event that the client lacks, that is, where a stream begins or is resumed. `events::is_number` is split out of `significant_digits`.

Test: `event_ids::repeated_ids`, 12 events with one id, failed before the change (one piece passed on) and passes after it; the other tests of `event_ids`, `headers` and `event_split` pass as before.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -114,10 +114,15 @@
     Some(left.len().cmp(&right.len()).then_with(|| left.cmp(right)))
 }
 
+/// Returns whether an id is a whole number, so that it tells which events are later.
+#[must_use]
+pub fn is_number(id: &str) -> bool {
+    !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_digit())
+}
+
 /// Returns the digits of a whole number without leading zeros, or `None` if the text is something else.
 fn significant_digits(text: &str) -> Option<&str> {
-    let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
-    is_number.then(|| text.trim_start_matches('0'))
+    is_number(text).then(|| text.trim_start_matches('0'))
 }
 
 /// Returns the id of an event, unless it has none that a header can carry.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -93,6 +93,13 @@
         self.dispatch.end(outcome);
     }
 
+    /// Returns the id up to which events are left out, as the client has them. An id that is no number tells that
+    /// only of the first events: later ones may have the same id.
+    fn skipped_id(&self) -> Option<events::Id> {
+        let last_id = self.last_id.clone();
+        last_id.filter(|id| !self.has_event || events::is_number(id))
+    }
+
     /// Reads the next complete events; empty bytes mean that the stream has ended normally.
     ///
     /// # Errors
@@ -118,7 +125,8 @@
                             "an event is longer or in more pieces than allowed",
                         ));
                     }
-                    let batch = self.splitter.take_events(self.last_id.as_ref());
+                    let skipped_id = self.skipped_id();
+                    let batch = self.splitter.take_events(skipped_id.as_ref());
                     self.has_event |= batch.count > 0;
                     self.record_events(batch.count);
                     if batch.last_id.is_some() {
