direct: Let the seed of a test determine the grants of credit

What was seen: `endpoint_limits::limit_used` and `fleet_bound_kept` failed once each in whole runs and passed when repeated with the same seeds (KNOWN-RED.txt).

Cause: `Limits` kept endpoints and grants in hash maps, whose order differs in each process, so that the draws of the test's delays and losses went to other grants each time.

Change: ordered maps. The product's behaviour is the same: endpoints are shuffled before they matter, and receivers get one message each.

The seeds that fail are tests of their own, `bound_by_seed` and `use_by_seed`, and take the place of the two in KNOWN-RED.txt: what binds with them is not traced.

--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -1,6 +1,9 @@
 //! Request rates that endpoints state they take from all entries together.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use conf::id;
 use rand::{
@@ -44,7 +47,8 @@
 /// would earn a whole one by itself in time.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-    endpoints: HashMap<id::Endpoint, Record>,
+    /// In a fixed order, so that the seed of a test determines what is drawn for which endpoint.
+    endpoints: BTreeMap<id::Endpoint, Record>,
     /// Time from which on the next refused client of a service finds room.
     turns: HashMap<id::Service, Instant>,
     /// Number of changes so far.
@@ -304,7 +308,7 @@
         random: &mut SmallRng,
         now: Instant,
     ) -> Vec<(id::Process, Vec<Grant>)> {
-        let mut grants: HashMap<&id::Process, Vec<Grant>> = HashMap::new();
+        let mut grants: BTreeMap<&id::Process, Vec<Grant>> = BTreeMap::new();
         let users: Vec<&id::Process> = others.sample(random, MAX_USERS).collect();
         let mut users = users.iter().cycle();
         let mut collectors: Vec<&id::Process> = Vec::new();
--- a/crates/direct/tests/suite/endpoint_limits.rs
+++ b/crates/direct/tests/suite/endpoint_limits.rs
@@ -114,10 +114,8 @@
     }
 }
 
-/// Guards against first requests that all entries send at once, against credit that is used twice, and against
-/// entries that come back with what they had before.
-#[tokio::test(start_paused = true)]
-async fn fleet_bound_kept() {
+/// Checks the requests that endpoints get from several fleets.
+async fn check_bound(seed: u64) {
     for (entries, assumed, known) in [(7, 8, 6), (7, 7, 0), (300, 300, 299), (300, 256, 0)] {
         for rate in [0.0, 0.3, 1.0, 2.5, 40.0] {
             for (delay, freezes) in [(100, false), (3000, true)] {
@@ -131,20 +129,32 @@
                     known,
                     demand: 0.5,
                 };
-                let arrivals = fleet.run(Duration::from_secs(24), 7).await;
+                let arrivals = fleet.run(Duration::from_secs(24), seed).await;
                 let busiest = busiest_window(&arrivals);
                 assert!(
                     busiest <= bound(rate),
-                    "{busiest} from {entries} entries at {rate} a second, freezes: {freezes}"
+                    "{busiest} from {entries} entries at {rate} a second, freezes: {freezes}, seed {seed}"
                 );
             }
         }
     }
 }
 
-/// Guards against a limit of which entries use little: they divide it, but one may have all the demand.
+/// Guards against first requests that all entries send at once, against credit that is used twice, and against
+/// entries that come back with what they had before.
 #[tokio::test(start_paused = true)]
-async fn limit_used() {
+async fn fleet_bound_kept() {
+    check_bound(7).await;
+}
+
+/// A seed with more requests than [`bound`] (KNOWN-RED.txt).
+#[tokio::test(start_paused = true)]
+async fn bound_by_seed() {
+    check_bound(16).await;
+}
+
+/// Checks the share of the limit that several fleets use.
+async fn check_use(seed: u64) {
     // The last number is that of requests per entry and second.
     let cases = [
         (7, 1.0, 5.0),
@@ -165,14 +175,28 @@
             demand: demand * STEP.as_secs_f64(),
         };
         let time = Duration::from_secs(40);
-        let used = fleet.run(time, 3).await.len() as f64 / time.as_secs_f64() / rate;
+        let used = fleet.run(time, seed).await.len() as f64 / time.as_secs_f64() / rate;
         assert!(
             (0.7..=1.0).contains(&used),
-            "{used} of {rate} by {entries} entries"
+            "{used} of {rate} by {entries} entries, seed {seed}"
         );
     }
 }
 
+/// Guards against a limit of which entries use little: they divide it, but one may have all the demand.
+#[tokio::test(start_paused = true)]
+async fn limit_used() {
+    check_use(3).await;
+}
+
+/// Seeds with which less is used (KNOWN-RED.txt).
+#[tokio::test(start_paused = true)]
+async fn use_by_seed() {
+    for seed in [16, 17] {
+        check_use(seed).await;
+    }
+}
+
 fn record(limits: &mut Limits, limit: Limit, sent_at: Instant) -> Option<Change> {
     limits.record_answer(&ENDPOINT.into(), 1, &limit, sent_at, Instant::now())
 }
