payload: Count bytes without a part of a message on the own way too

What callers saw: on the product's own way an engine's interim answers, or a chunk's size of zeros, without an end were read at full speed until the request's deadline, and for a second at each health check.

Cause: `payload::Meter` was used by connections of the users' platform alone; the own way's pooled clients open theirs themselves.

Change: `payload::Connector` gives each connection of a pooled client a meter, and `payload::meter_response` takes it from the response.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -4,11 +4,12 @@
 use fault::{ErrorKind, Fault};
 use http::{HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt as _, Empty, StreamBody, combinators::UnsyncBoxBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::body::{Frame, Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use payload::{Connector, Metered};
 use serde::Deserialize;
 use smol_str::format_smolstr;
 use tokio::{sync::mpsc, time};
@@ -34,9 +35,9 @@
 pub(crate) struct Engine {
     address: SocketAddr,
     /// Reuses idle connections.
-    pooled: Client<HttpConnector, Body>,
+    pooled: Client<Connector, Body>,
     /// Opens a connection for each request.
-    unpooled: Client<HttpConnector, Body>,
+    unpooled: Client<Connector, Body>,
 }
 
 /// State that an engine reports in answer to a health check; a service may omit each field.
@@ -57,6 +58,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CHECK_TIMEOUT));
+        let connector = Connector::new(connector);
         let mut builder = Client::builder(TokioExecutor::new());
         builder
             .pool_timer(TokioTimer::new())
@@ -73,7 +75,7 @@
     ///
     /// An attempt with an idempotency key gets a new connection: if a reused one broke, there would
     /// be no way to tell whether the endpoint had read the request.
-    fn connections(&self, offer: &Offer) -> &Client<HttpConnector, Body> {
+    fn connections(&self, offer: &Offer) -> &Client<Connector, Body> {
         if offer.key.is_some() {
             &self.unpooled
         } else {
@@ -86,6 +88,7 @@
         let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
         let request = Request::get(format!("http://{}/health", self.address)).body(body)?;
         let response = time::timeout(CHECK_TIMEOUT, self.pooled.request(request)).await??;
+        let response = payload::meter_response(response);
         anyhow::ensure!(
             response.status().is_success(),
             "status {}",
@@ -106,7 +109,7 @@
         &self,
         offer: &Offer,
         body: mpsc::Receiver<io::Result<Bytes>>,
-    ) -> Result<Response<Incoming>, Fault> {
+    ) -> Result<Response<Metered<Incoming>>, Fault> {
         let request = self
             .request(offer, body)
             .ok_or(Fault::new(ErrorKind::Malformed))?;
@@ -124,6 +127,7 @@
             }
             Fault::new(ErrorKind::Interrupted)
         })?;
+        let response = payload::meter_response(response);
         validate(offer, &response)?;
         Ok(response)
     }
@@ -148,7 +152,7 @@
 }
 
 /// Checks that a response belongs to the attempt, has a status of HTTP, and that its truncation could be detected.
-fn validate(offer: &Offer, response: &Response<Incoming>) -> Result<(), Fault> {
+fn validate<T: hyper::body::Body>(offer: &Offer, response: &Response<T>) -> Result<(), Fault> {
     let answered_id = response.headers().get(ATTEMPT_HEADER);
     if answered_id.is_some_and(|id| id.as_bytes() != attempt_id(offer).as_bytes()) {
         return Err(Fault::new(ErrorKind::BadAnswer).detail("the engine answered another request"));
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -10,6 +10,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use payload::Connector;
 use serde::de::DeserializeOwned;
 use tokio::{sync::Mutex, time};
 use wire::{Order, Report};
@@ -100,7 +101,7 @@
 #[derive(Clone)]
 struct Ranks {
     address: SocketAddr,
-    connections: Client<HttpConnector, Full<Bytes>>,
+    connections: Client<Connector, Full<Bytes>>,
 }
 
 impl Ranks {
@@ -110,7 +111,7 @@
         connector.set_connect_timeout(Some(REQUEST_TIMEOUT));
         let connections = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(Connector::new(connector));
         Self {
             address,
             connections,
@@ -134,7 +135,8 @@
             let response = self.connections.request(request).await?;
             let status = response.status();
             anyhow::ensure!(status.is_success(), "status {status}");
-            let bytes = payload::collect(response.into_body(), MAX_ANSWER_BYTES).await?;
+            let body = payload::meter_response(response).into_body();
+            let bytes = payload::collect(body, MAX_ANSWER_BYTES).await?;
             Ok(serde_json::from_slice(&bytes)?)
         };
         time::timeout(REQUEST_TIMEOUT, exchange).await?
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use once::{Answer, Verifier};
+use payload::Metered;
 use tokio::{
     sync::mpsc,
     time::{self, Instant},
@@ -110,7 +111,7 @@
         Ok((checksum, body.map(|body| Answer { head, body })))
     }
 
-    fn head(&self, response: &Response<Incoming>) -> Head {
+    fn head(&self, response: &Response<Metered<Incoming>>) -> Head {
         let forwarded = response
             .headers()
             .iter()
@@ -130,7 +131,10 @@
     }
 
     /// Writes the body to the output; also returns it if it is to be stored and not too large.
-    async fn forward_body(&self, mut body: Incoming) -> Result<(Checksum, Option<Bytes>), Fault> {
+    async fn forward_body(
+        &self,
+        mut body: Metered<Incoming>,
+    ) -> Result<(Checksum, Option<Bytes>), Fault> {
         let mut verifier = Verifier::new(self.offer.request.clone(), self.offer.attempt);
         let mut stored = self.reserved.then(BytesMut::new);
         while let Some(frame) = body.frame().await {
--- a/crates/fake/tests/crowd/endless_answers.rs
+++ b/crates/fake/tests/crowd/endless_answers.rs
@@ -1,12 +1,19 @@
 //! Engines whose answers have no end.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use fake::{Client, Fleet, Signal, TEAM_KEY, Topology};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    task::JoinSet,
+    task::{JoinHandle, JoinSet},
     time,
 };
 
@@ -16,9 +23,14 @@
 /// Requests that get endless answers of one kind at the same time, and the time for which they do.
 const REQUESTS: usize = 64;
 const PLAY_TIME: Duration = Duration::from_millis(1500);
+/// Bytes of one answer that the engine writes at most, and that may be taken of it (figures of our own).
+const WRITTEN: u64 = 128 << 20;
+const TAKEN: u64 = 48 << 20;
+/// Time for which a request alone may be answered.
+const ALONE_TIME: Duration = Duration::from_secs(5);
 
 /// Names of the kinds of answers, what they begin with, and what follows without an end.
-const KINDS: [(&str, &str, &str); 13] = [
+const KINDS: [Kind; 13] = [
     ("status line", "HTTP/1.1 200 ", "O"),
     ("header", "HTTP/1.1 200 OK\r\nX: ", "x"),
     ("headers", "HTTP/1.1 200 OK\r\n", "X: x\r\n"),
@@ -67,10 +79,63 @@
     Some(String::from_utf8_lossy(&bytes).to_lowercase())
 }
 
-/// Answers health checks, and all other requests without an end.
-async fn respond(mut stream: TcpStream, start: &str, unit: &str) {
+/// Kind of answers, what they begin with, and what follows without an end.
+type Kind = (&'static str, &'static str, &'static str);
+
+/// Requests that an engine answers without an end.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Endless {
+    /// All but health checks.
+    Requests,
+    HealthChecks,
+}
+
+/// Engine whose answers have no end.
+struct Engine {
+    /// Most bytes that were taken of one answer.
+    most: Arc<AtomicU64>,
+    server: JoinHandle<()>,
+}
+
+impl Engine {
+    /// Starts to listen at the address of an engine that was killed.
+    async fn start(address: SocketAddr, kind: Kind, endless: Endless) -> Self {
+        // The killed engine, or the previous listener, may still hold the address.
+        let listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => time::sleep(Duration::from_millis(20)).await,
+            }
+        };
+        let most = Arc::<AtomicU64>::default();
+        let counted = most.clone();
+        let server = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                connections.spawn(respond(stream, kind, endless, counted.clone()));
+            }
+        });
+        Self { most, server }
+    }
+
+    /// Stops the engine; returns the most bytes that were taken of one answer.
+    fn stop(self) -> u64 {
+        self.server.abort();
+        self.most.load(Ordering::Relaxed)
+    }
+}
+
+/// Answers requests, some of them with up to [`WRITTEN`] bytes that have no end.
+async fn respond(
+    mut stream: TcpStream,
+    (_, start, unit): Kind,
+    endless: Endless,
+    most: Arc<AtomicU64>,
+) {
     while let Some(head) = read_head(&mut stream).await {
-        if head.starts_with("get /health") {
+        let is_check = head.starts_with("get /health");
+        if is_check != (endless == Endless::HealthChecks) {
             let text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
@@ -79,37 +144,46 @@
         }
         let piece = unit.repeat(8192 / unit.len());
         let mut sent = stream.write_all(start.as_bytes()).await;
-        while sent.is_ok() {
+        let mut written = 0;
+        while sent.is_ok() && written < WRITTEN {
             sent = stream.write_all(piece.as_bytes()).await;
+            written += piece.len() as u64;
+            most.fetch_max(written, Ordering::Relaxed);
+        }
+        if sent.is_ok() {
+            time::sleep(ALONE_TIME).await;
         }
         return;
     }
 }
 
+/// Kills the engine beside an agent; returns its address.
+fn kill_engine(fleet: &Fleet) -> SocketAddr {
+    let backend = &fleet.backends[ENDPOINT];
+    let address = backend.ready_line().parse().unwrap();
+    backend.signal(Signal::Kill).unwrap();
+    address
+}
+
+/// Asserts that an order, whose engine is sound, runs.
+async fn assert_served(entry: SocketAddr) {
+    let client = Client::new(TEAM_KEY, false);
+    let key = client.request_key(entry).await.unwrap();
+    let headers = [("idempotency-key", key.as_str())];
+    let response = client.send("POST", entry, "/v1/orders", &headers, "order");
+    assert_eq!(response.await.unwrap().json()["count"], 1);
+}
+
 /// Guards against an engine whose answers have no end, and take the memory of its agent or of an entry (LOST).
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_engine() {
     let _turn = TURN.lock().await;
     let fleet = Fleet::start(Topology::default()).await.unwrap();
     let entry = fleet.client_address(ENTRY).unwrap();
-    let backend = &fleet.backends[ENDPOINT];
-    let address: SocketAddr = backend.ready_line().parse().unwrap();
-    backend.signal(Signal::Kill).unwrap();
-    for (name, start, unit) in KINDS {
-        // The killed engine, or the previous listener, may still hold the address.
-        let listener = loop {
-            match TcpListener::bind(address).await {
-                Ok(listener) => break listener,
-                Err(_) => time::sleep(Duration::from_millis(20)).await,
-            }
-        };
-        let engine = tokio::spawn(async move {
-            let mut connections = JoinSet::new();
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                connections.spawn(respond(stream, start, unit));
-            }
-        });
+    let address = kill_engine(&fleet);
+    for kind in KINDS {
+        let name = kind.0;
+        let engine = Engine::start(address, kind, Endless::Requests).await;
         // The agent finds the engine to be healthy again.
         time::sleep(PLAY_TIME).await;
         let mut requests = JoinSet::new();
@@ -123,7 +197,7 @@
         }
         let answers = requests.join_all().await;
         let ended = answers.into_iter().filter(|ended| *ended).count();
-        engine.abort();
+        engine.stop();
         let agent = peak_memory(&fleet.agents[ENDPOINT]);
         let memory = peak_memory(&fleet.entries[ENTRY]);
         println!(
@@ -137,10 +211,52 @@
             "{name}: {memory} bytes in the entry"
         );
     }
-    // Other requests on the same processes are served.
-    let client = Client::new(TEAM_KEY, false);
-    let key = client.request_key(entry).await.unwrap();
-    let headers = [("idempotency-key", key.as_str())];
-    let response = client.send("POST", entry, "/v1/orders", &headers, "order");
-    assert_eq!(response.await.unwrap().json()["count"], 1);
+    assert_served(entry).await;
+}
+
+/// Guards against an engine's answer that is read until the deadline, though it has no part of a message (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_parts() {
+    let _turn = TURN.lock().await;
+    let fleet = Fleet::start(Topology::default()).await.unwrap();
+    let entry = fleet.client_address(ENTRY).unwrap();
+    let address = kill_engine(&fleet);
+    let is_endless_part = |kind: &Kind| ["interim answers", "chunk size"].contains(&kind.0);
+    let mut endless = Vec::new();
+    for kind in KINDS.into_iter().filter(is_endless_part) {
+        let engine = Engine::start(address, kind, Endless::Requests).await;
+        // The agent finds the engine to be healthy again.
+        time::sleep(PLAY_TIME).await;
+        let client = Client::new(TEAM_KEY, false);
+        let draft = client.request_draft(entry, "prompt", 4);
+        let answered = time::timeout(ALONE_TIME, draft).await.is_ok();
+        let taken = engine.stop();
+        println!("{}: {taken} bytes, answered: {answered}", kind.0);
+        if taken == 0 || taken > TAKEN {
+            endless.push((kind.0, taken));
+        }
+    }
+    assert!(endless.is_empty(), "{endless:?}");
+    assert_served(entry).await;
+}
+
+/// Guards against an engine whose answers to health checks have no end (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_health() {
+    let _turn = TURN.lock().await;
+    let fleet = Fleet::start(Topology::default()).await.unwrap();
+    let entry = fleet.client_address(ENTRY).unwrap();
+    let address = kill_engine(&fleet);
+    let mut endless = Vec::new();
+    for kind in KINDS {
+        let engine = Engine::start(address, kind, Endless::HealthChecks).await;
+        time::sleep(2 * PLAY_TIME).await;
+        let (taken, memory) = (engine.stop(), peak_memory(&fleet.agents[ENDPOINT]));
+        println!("{}: {taken} bytes, agent {} MB", kind.0, memory / 1_000_000);
+        if taken == 0 || taken > TAKEN || memory > AGENT_MEMORY {
+            endless.push((kind.0, taken, memory));
+        }
+    }
+    assert!(endless.is_empty(), "{endless:?}");
+    assert_served(entry).await;
 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -13,6 +13,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use payload::Connector;
 use serde::Deserialize;
 use smol_str::SmolStr;
 use tokio::time;
@@ -27,7 +28,7 @@
 /// HTTP connections to the platform, over which the published log is read; a failed read moves to
 /// the next address.
 pub(crate) struct Platform {
-    connections: Client<HttpConnector, Empty<Bytes>>,
+    connections: Client<Connector, Empty<Bytes>>,
     addresses: Vec<SocketAddr>,
     next: AtomicUsize,
 }
@@ -40,7 +41,8 @@
 impl Platform {
     pub(crate) fn new(addresses: Vec<SocketAddr>) -> Self {
         Self {
-            connections: Client::builder(TokioExecutor::new()).build_http(),
+            connections: Client::builder(TokioExecutor::new())
+                .build(Connector::new(HttpConnector::new())),
             addresses,
             next: AtomicUsize::new(0),
         }
@@ -104,7 +106,8 @@
                 "HTTP status {}",
                 answer.status()
             );
-            Ok(payload::collect(answer.into_body(), ANSWER_LIMIT).await?)
+            let body = payload::meter_response(answer).into_body();
+            Ok(payload::collect(body, ANSWER_LIMIT).await?)
         };
         let bytes = time::timeout(POLL_WAIT + ANSWER_MARGIN, read)
             .await
--- a/crates/payload/src/lib.rs
+++ b/crates/payload/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod allowance;
 mod collect;
+mod connector;
 mod message;
 mod metered;
 mod status;
 
 pub use allowance::{Allowance, Exceeded, FRAME_BYTES, MIN_FRAMES};
 pub use collect::{Error, collect, receive};
+pub use connector::{Connector, meter_response};
 pub use message::{Message, Outgoing};
 pub use metered::{Meter, Metered};
 pub use status::is_final;
--- a/crates/payload/src/metered.rs
+++ b/crates/payload/src/metered.rs
@@ -54,6 +54,16 @@
     meter: Meter,
 }
 
+impl<T> Metered<T> {
+    pub(crate) const fn inner(&self) -> &T {
+        &self.inner
+    }
+
+    pub(crate) const fn meter(&self) -> &Meter {
+        &self.meter
+    }
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for Metered<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
