--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -1,11 +1,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context as _;
-use group::{Datagram, MAX_BYTES, MAX_ENTRIES, REFUSAL_TIME, Status};
-use tokio::{
-    net::UdpSocket,
-    time::{self, Instant},
-};
+use group::{Datagram, MAX_ENTRIES, REFUSAL_TIME, Socket, Status};
+use tokio::time::{self, Instant};
 
 use crate::{
     Settings,
@@ -21,12 +18,10 @@
 const REFRESH_INTERVAL: Duration = Duration::from_secs(3);
 /// Number of entries that are asked while no group is known.
 const ASK_FANOUT: usize = 3;
-/// Delay after a datagram could not be received.
-const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Receives the news of groups that agents send, and passes them on to other entries; has agents remember what is refused.
 pub(crate) struct Groups {
-    socket: UdpSocket,
+    socket: Socket,
     address: SocketAddr,
     context: Arc<Context>,
     gossip: Arc<Gossip>,
@@ -44,7 +39,7 @@
         gossip: Arc<Gossip>,
     ) -> anyhow::Result<Arc<Self>> {
         let address = settings.listen.groups;
-        let socket = UdpSocket::bind(address)
+        let socket = Socket::bind(address)
             .await
             .context("field `listen.groups`")?;
         Ok(Arc::new(Self {
@@ -58,18 +53,9 @@
     /// Sends and receives datagrams; never returns.
     pub(crate) async fn run(self: Arc<Self>) {
         tokio::spawn(self.clone().ask());
-        let mut buffer = vec![0; MAX_BYTES];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match Datagram::decode(&buffer[..length]) {
-                    Ok(datagram) => self.handle(datagram, from).await,
-                    Err(reason) => log::debug!("datagram from {from} cannot be decoded: {reason}"),
-                },
-                Err(e) => {
-                    log::debug!("datagram cannot be received: {e}");
-                    time::sleep(RECEIVE_RETRY_DELAY).await;
-                }
-            }
+            let (datagram, from) = self.socket.receive().await;
+            self.handle(datagram, from).await;
         }
     }
 
@@ -84,7 +70,7 @@
                 false => (1, REFRESH_INTERVAL),
             };
             let targets = self.others(fanout);
-            self.send(&Datagram::Ask, &targets).await;
+            self.socket.send(&Datagram::Ask, &targets).await;
             time::sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
         }
     }
@@ -94,7 +80,7 @@
             Datagram::Status(status) => {
                 if self.record(&status, from) {
                     let targets = self.others(FORWARD_FANOUT);
-                    self.send(&Datagram::Status(status), &targets).await;
+                    self.socket.send(&Datagram::Status(status), &targets).await;
                 }
                 if !self.gossip.is_member(from.ip()) {
                     self.answer_agent(from).await;
@@ -105,7 +91,7 @@
                     .context
                     .with_balancer(|balancer| balancer.groups().statuses());
                 for status in statuses {
-                    self.send(&Datagram::Status(status), &[from]).await;
+                    self.socket.send(&Datagram::Status(status), &[from]).await;
                 }
             }
             Datagram::Refusals(refusals) => {
@@ -123,17 +109,19 @@
     /// Tells an agent where other entries are and what is refused; asks it for the latter while that may be unknown.
     async fn answer_agent(&self, agent: SocketAddr) {
         let others = self.others(MAX_ENTRIES);
-        self.send(&Datagram::Entries(others), &[agent]).await;
+        self.socket.send(&Datagram::Entries(others), &[agent]).await;
         let now = Instant::now();
         let refusals = self
             .context
             .with_balancer(|balancer| balancer.refusals(now));
         let is_unsure = refusals.memory < REFUSAL_TIME;
         if !refusals.refused.is_empty() {
-            self.send(&Datagram::Refusals(refusals), &[agent]).await;
+            self.socket
+                .send(&Datagram::Refusals(refusals), &[agent])
+                .await;
         }
         if is_unsure {
-            self.send(&Datagram::AskRefusals, &[agent]).await;
+            self.socket.send(&Datagram::AskRefusals, &[agent]).await;
         }
     }
 
@@ -164,19 +152,4 @@
             .map(|member| SocketAddr::new(member.ip(), self.address.port()))
             .collect()
     }
-
-    async fn send(&self, datagram: &Datagram, targets: &[SocketAddr]) {
-        let bytes = match datagram.encode() {
-            Ok(bytes) => bytes,
-            Err(reason) => {
-                log::warn!(reason = reason; "datagram cannot be encoded");
-                return;
-            }
-        };
-        for target in targets {
-            if let Err(e) = self.socket.send_to(&bytes, target).await {
-                log::debug!("datagram to {target} cannot be sent: {e}");
-            }
-        }
-    }
 }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -8,10 +8,12 @@
 mod directory;
 mod memory;
 mod refusal;
+mod socket;
 mod status;
 
 pub use datagram::{Datagram, MAX_BYTES, MAX_ENTRIES};
 pub use directory::Directory;
 pub use memory::Memory;
 pub use refusal::{MAX_REFUSALS, REFUSAL_TIME, Refusal, Refusals, Subject};
+pub use socket::Socket;
 pub use status::{Epoch, Key, Name, Status};
--- a/crates/steer/src/announce.rs
+++ b/crates/steer/src/announce.rs
@@ -8,12 +8,9 @@
 };
 
 use conf::id;
-use group::{Datagram, MAX_BYTES, Memory, Status};
+use group::{Datagram, Memory, Socket, Status};
 use rand::seq::IteratorRandom as _;
-use tokio::{
-    net::UdpSocket,
-    time::{self, Instant},
-};
+use tokio::time::{self, Instant};
 
 use crate::{Group, peers::Peers};
 
@@ -37,7 +34,7 @@
 ///
 /// Lock order: `group`, `entries` and `memory` are each taken alone and never held across an await.
 pub(crate) struct Announcer {
-    socket: UdpSocket,
+    socket: Socket,
     service: id::Service,
     peers: Arc<Peers>,
     group: Mutex<Option<Group>>,
@@ -51,13 +48,13 @@
     /// Creates an announcer that knows the entries at `seeds`, whose ports are replaced by that of the
     /// socket.
     pub(crate) fn new(
-        socket: UdpSocket,
+        socket: Socket,
         service: id::Service,
         seeds: &[SocketAddr],
         peers: Arc<Peers>,
         memory: Memory,
     ) -> std::io::Result<Arc<Self>> {
-        let port = socket.local_addr()?.port();
+        let port = socket.address()?.port();
         let entries = seeds
             .iter()
             .map(|seed| (SocketAddr::new(seed.ip(), port), None));
@@ -105,7 +102,9 @@
                 }
             };
             let targets = self.targets(fanout, now);
-            self.send(&Datagram::Status(status.clone()), &targets).await;
+            self.socket
+                .send(&Datagram::Status(status.clone()), &targets)
+                .await;
             sent = Some((status, now));
         }
     }
@@ -125,21 +124,6 @@
         })
     }
 
-    async fn send(&self, datagram: &Datagram, targets: &[SocketAddr]) {
-        let bytes = match datagram.encode() {
-            Ok(bytes) => bytes,
-            Err(reason) => {
-                log::warn!(reason = reason; "datagram cannot be encoded");
-                return;
-            }
-        };
-        for entry in targets {
-            if let Err(e) = self.socket.send_to(&bytes, entry).await {
-                log::debug!("datagram to {entry} cannot be sent: {e}");
-            }
-        }
-    }
-
     /// Chooses random entries that answered lately, and one of the others.
     fn targets(&self, fanout: usize, now: Instant) -> Vec<SocketAddr> {
         let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
@@ -154,18 +138,9 @@
     }
 
     async fn receive(self: Arc<Self>) {
-        let mut buffer = vec![0; MAX_BYTES];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match Datagram::decode(&buffer[..length]) {
-                    Ok(datagram) => self.handle(datagram, from).await,
-                    Err(reason) => log::debug!("datagram from {from} cannot be decoded: {reason}"),
-                },
-                Err(e) => {
-                    log::debug!("datagram cannot be received: {e}");
-                    time::sleep(TICK_INTERVAL).await;
-                }
-            }
+            let (datagram, from) = self.socket.receive().await;
+            self.handle(datagram, from).await;
         }
     }
 
@@ -181,7 +156,9 @@
                 let refusals = self.memory().refusals(now);
                 let (count, memory) = (refusals.refused.len(), refusals.memory.as_secs());
                 log::info!(entry:% = from, refused = count, memory_s = memory; "refusals are told to an entry");
-                self.send(&Datagram::Refusals(refusals), &[from]).await;
+                self.socket
+                    .send(&Datagram::Refusals(refusals), &[from])
+                    .await;
             }
             Datagram::Ask | Datagram::Status(_) => {
                 log::debug!("unexpected datagram from {from}");
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -45,7 +45,7 @@
     let listener = TcpListener::bind(peers_address)
         .await
         .context("field `listen.peers`")?;
-    let groups = UdpSocket::bind(settings.listen.groups)
+    let groups = group::Socket::bind(settings.listen.groups)
         .await
         .context("field `listen.groups`")?;
     let mut memory = Memory::new(Instant::now());
