agent: Send a request again that was never written

What callers saw: on the product's own way a 502 with `run: unknown` for a request that no engine had received, just after an engine crashed.

Cause: the pooled client was set not to repeat requests that are cancelled before anything is written, as an idle connection turns out to be closed, and the agent took that error for a connection that broke under the request.

Evidence: a whole run of the suite with the logs kept, in which the test failed; the agent's line for the request is "client error (Canceled)".

What is cancelled all the same counts as an engine that cannot be reached: not run. Why this works: the library hands a request back only if it has written nothing of it.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt as _, Empty, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Frame, Incoming};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{self, Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 use payload::{Connector, Metered};
@@ -34,7 +34,7 @@
 #[derive(Clone)]
 pub(crate) struct Engine {
     address: SocketAddr,
-    /// Reuses idle connections.
+    /// Reuses idle connections; opens another one if nothing of a request was sent before one of them closed.
     pooled: Client<Connector, Body>,
     /// Opens a connection for each request.
     unpooled: Client<Connector, Body>,
@@ -62,8 +62,7 @@
         let mut builder = Client::builder(TokioExecutor::new());
         builder
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(false);
+            .pool_idle_timeout(IDLE_TIMEOUT);
         Self {
             address,
             pooled: builder.build(connector.clone()),
@@ -119,7 +118,7 @@
                 "request {}: no response from the engine: {e}",
                 offer.request
             );
-            if e.is_connect() {
+            if e.is_connect() || is_unsent(&e) {
                 return Fault::new(ErrorKind::NoEndpoint).retry_after(UNREACHABLE_RETRY_AFTER);
             }
             if is_body_error(&e) {
@@ -171,9 +170,17 @@
 }
 
 /// Returns whether a request failed because its body ended early, which is no error of the engine.
-fn is_body_error(e: &hyper_util::client::legacy::Error) -> bool {
-    let source = std::error::Error::source(e).and_then(|e| e.downcast_ref::<hyper::Error>());
-    source.is_some_and(hyper::Error::is_user)
+fn is_body_error(e: &legacy::Error) -> bool {
+    http_error(e).is_some_and(hyper::Error::is_user)
+}
+
+/// Returns whether a connection closed before anything of the request was sent.
+fn is_unsent(e: &legacy::Error) -> bool {
+    http_error(e).is_some_and(hyper::Error::is_canceled)
+}
+
+fn http_error(e: &legacy::Error) -> Option<&hyper::Error> {
+    std::error::Error::source(e)?.downcast_ref()
 }
 
 fn attempt_id(offer: &Offer) -> smol_str::SmolStr {
