Blame: explain each crash by one prompt part

Cause: each crash was counted against every part of the request that had not been answered within 10 s, and each part with three crashes was refused. What is refused reaches no endpoint, so that no answer could show that the shared part is sound.

Ruled out: that the length of the memory is the cause.

Change: a crash is explained by one part, the one that most crashes have in common; of equal ones the one that was never answered. Parts that nothing tells apart are refused together only, so that requests with some of them show which one it is. A crash is told to other entries with all its parts, in a datagram of its own, beside what was answered before. New verdicts in the log and in apricot_direct_suspect_parts_total.

Tests: direct part_evidence, which failed before the fix: pause_keeps_shared, unknown_parts_tried, turned_part_refused, both_bounds_kept (0 of 112 sound requests served), bounds_after_restart (0 of 112), bounds_of_turned_part (up to 124 late arrivals). ended_service_not_blamed and rolling_ends_not_blamed guard the other side and passed before. prompt_parts::answer_lifts_refusal stated the fault itself (a part that ran beside the one at fault is refused by itself); it now asserts that only both together are refused, and the whole list of verdicts.

--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -1,10 +1,17 @@
 //! Finds what crashes endpoints: requests, and parts of their prompts.
 
+mod answers;
+mod judge;
 mod news;
 mod record;
 mod subject;
 
-use std::{cmp::Reverse, collections::HashMap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use conf::id;
 use group::{REFUSAL_TIME, Refusal};
@@ -12,9 +19,13 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
-use self::record::{Known, Record};
+use self::{
+    answers::Answers,
+    judge::{Class, Standing, Suspect},
+    record::{Known, Record, Refused},
+};
 pub use self::{
-    news::{Crash, CrashId, News, Verdict},
+    news::{Answered, Crash, CrashId, News, Verdict},
     subject::{Fingerprint, Part, Subject},
 };
 use crate::departures::Incarnation;
@@ -30,10 +41,13 @@
 const REPORT_SPAN: Duration = Duration::from_secs(2);
 /// Maximum number of blamed subjects, and of breaks that are remembered.
 const MAX_RECORDS: usize = 2048;
-/// Maximum number of subjects whose answers are remembered.
-const MAX_ANSWERED: usize = 4096;
 /// Maximum number of entries in each list of [`News`], so that they fit into one packet.
 const MAX_NEWS: usize = 16;
+/// Maximum number of joint refusals in [`News`], and of subjects in each.
+const MAX_JOINT: usize = 2;
+const MAX_JOINT_SUBJECTS: usize = 16;
+/// Number of answers to other requests since a subject's first crash, from which on [`Subject::DOUBT_TIME`] is enough.
+const MIN_OTHER_ANSWERS: u64 = 2;
 
 /// Finds the subjects under which endpoints crash: requests, and parts of their prompts, whatever else a request
 /// holds.
@@ -42,17 +56,22 @@
 /// [`Subject::NEEDS_SIGN`], the endpoint turns out to have ended. Each crash counts once, however many requests and
 /// entries it concerned. Whatever crashes each endpoint is never answered, so a whole answer proves a subject sound:
 /// that tells what merely ran at an endpoint that ended from what ended it.
+///
+/// Of the parts of a request one explains its crashes: the part that most crashes have in common, and of equal ones the part
+/// that was never answered. Where several are left, only a request with all of them is refused. The others show, by an
+/// answer or a further crash, which part it is.
 #[derive(Clone, Debug)]
 pub struct Blame<K> {
-    records: HashMap<K, Record>,
+    records: HashMap<K, Record<K>>,
+    /// Crashes that were heard of lately, those of sound subjects included.
+    crashes: HashMap<CrashId, Known>,
     /// Connections that broke, until there is a sign that the endpoint has ended.
     breaks: Vec<Break<K>>,
     /// Endpoints that ended.
     ended: HashMap<(id::Endpoint, Incarnation), Instant>,
-    /// Subjects that were answered, with the time of the latest answer.
-    answered: HashMap<K, Instant>,
+    answers: Answers<K>,
     /// Blamed subjects that are known to be sound, for other entries.
-    rebuttals: Vec<(K, Instant)>,
+    rebuttals: HashMap<K, Instant>,
     verdicts: Vec<Verdict<K>>,
 }
 
@@ -69,10 +88,11 @@
     fn default() -> Self {
         Self {
             records: HashMap::new(),
+            crashes: HashMap::new(),
             breaks: Vec::new(),
             ended: HashMap::new(),
-            answered: HashMap::new(),
-            rebuttals: Vec::new(),
+            answers: Answers::default(),
+            rebuttals: HashMap::new(),
             verdicts: Vec::new(),
         }
     }
@@ -80,14 +100,14 @@
 
 /// # Decisions
 impl<K: Subject> Blame<K> {
-    /// Returns the first of a request's subjects that is refused.
+    /// Returns the first of a request's subjects for which the request is refused.
     #[must_use]
     pub fn find_refused<'a>(&self, subjects: &'a [K], now: Instant) -> Option<&'a K> {
         subjects.iter().find(|subject| {
             let record = self.records.get(*subject);
-            record.is_some_and(|record| {
-                let is_recent = |at| now.duration_since(at) < refusal_time::<K>(record.refused_for);
-                record.refused_at.is_some_and(is_recent)
+            let refusal = record.and_then(|record| record.refusal.as_ref());
+            refusal.is_some_and(|refusal| {
+                refusal.is_valid(K::MAX_CRASHES, now) && refusal.covers(subject, subjects)
             })
         })
     }
@@ -97,24 +117,132 @@
         std::mem::take(&mut self.verdicts)
     }
 
-    /// Returns the number of crashes after which a subject is refused.
-    fn max_crashes(&self, subject: &K, now: Instant) -> usize {
-        match self.is_answered(subject, now) {
-            true => K::MAX_CRASHES_IF_ANSWERED,
-            false => K::MAX_CRASHES,
-        }
-    }
-
     /// Returns whether a whole answer to the subject is remembered.
     fn is_answered(&self, subject: &K, now: Instant) -> bool {
-        let last = self.answered.get(subject);
-        last.is_some_and(|last| now.duration_since(*last) < K::ANSWER_MEMORY)
+        let latest = self.answers.latest(subject);
+        latest.is_some_and(|latest| now.duration_since(latest) < K::ANSWER_MEMORY)
     }
 
-    /// Returns whether a subject was answered after a time, or shortly before.
+    /// Returns whether a subject was answered after a time.
     fn is_sound(&self, subject: &K, at: Instant) -> bool {
-        let last = self.answered.get(subject);
-        last.is_some_and(|last| *last + K::SOUND_TIME > at)
+        self.answers
+            .latest(subject)
+            .is_some_and(|latest| latest > at)
+    }
+
+    /// Returns what earlier answers to a blamed subject say.
+    fn standing(&self, subject: &K, record: &Record<K>, now: Instant) -> Standing {
+        if !self.is_answered(subject, now) {
+            return Standing::Unknown;
+        }
+        if record.is_refused_for(K::MAX_CRASHES) {
+            return Standing::Refused;
+        }
+        let is_past =
+            |at: Option<Instant>, time| at.is_none_or(|at| now.duration_since(at) >= time);
+        if is_past(self.answers.latest(subject), K::SILENCE_TIME) {
+            return Standing::Silent;
+        }
+        let first = record.crashes.iter().min_by_key(|known| known.at);
+        let answers = first.map_or(0, |first| self.answers.requests() - first.answers);
+        let is_doubtful = is_past(first.map(|first| first.at), K::DOUBT_TIME);
+        match is_doubtful && answers >= MIN_OTHER_ANSWERS {
+            true => Standing::Doubtful,
+            false => Standing::Sound,
+        }
+    }
+
+    /// Returns whether this entry knows `count` crashes of a subject, and refuses others that explain them.
+    fn is_explained(&self, subject: &K, count: usize) -> bool {
+        let Some(record) = self.records.get(subject) else {
+            return false;
+        };
+        if !K::IS_PART || record.crashes.len() < count {
+            return false;
+        }
+        let others = self.records.iter().filter(|(other, _)| *other != subject);
+        let refused = others.filter(|(_, record)| record.is_refused_for(K::MAX_CRASHES));
+        let explained = refused.flat_map(|(_, record)| &record.crashes);
+        let explained: HashSet<CrashId> = explained.map(|known| known.crash).collect();
+        let mut crashes = record.crashes.iter();
+        crashes.all(|known| explained.contains(&known.crash))
+    }
+
+    /// Decides what is refused, given all that is known of crashes and answers.
+    fn judge(&mut self, now: Instant) {
+        let told = self.records.values().filter(|record| record.is_told());
+        let told = told.flat_map(|record| &record.crashes);
+        let explained: HashSet<CrashId> = match K::IS_PART {
+            true => told.map(|known| known.crash).collect(),
+            false => HashSet::new(),
+        };
+        let mut suspects = Vec::new();
+        for (subject, record) in &self.records {
+            if record.crashes.len() < K::MAX_CRASHES || record.is_told() {
+                continue;
+            }
+            let mut open = record.counted(now);
+            let standing = self.standing(subject, record, now);
+            open.retain(|known| !explained.contains(&known.crash));
+            suspects.push(Suspect {
+                subject: subject.clone(),
+                open,
+                standing,
+            });
+        }
+        let mut crashes = self.crashes.clone();
+        crashes.retain(|crash, _| !explained.contains(crash));
+        let classes = judge::find_causes(suspects, crashes);
+        self.lift_explained(&classes);
+        for class in classes {
+            self.refuse(&class, now);
+        }
+    }
+
+    /// Lifts the refusals of subjects all of whose crashes others explain.
+    fn lift_explained(&mut self, classes: &[Class<K>]) {
+        if !K::IS_PART || classes.is_empty() {
+            return;
+        }
+        let causes: HashSet<&K> = classes.iter().flat_map(|c| c.subjects.iter()).collect();
+        let explained: HashSet<CrashId> =
+            classes.iter().flat_map(|c| &c.crashes).copied().collect();
+        for (subject, record) in &mut self.records {
+            if record.is_told() || causes.contains(subject) {
+                continue;
+            }
+            if record.crashes.iter().all(|c| explained.contains(&c.crash))
+                && record.refusal.take().is_some()
+            {
+                self.verdicts.push(Verdict::Explained(subject.clone()));
+            }
+        }
+    }
+
+    /// Refuses a class of subjects, unless that is so already.
+    fn refuse(&mut self, class: &Class<K>, now: Instant) {
+        let Class {
+            subjects, count, ..
+        } = class;
+        let mut is_new = false;
+        for subject in subjects.iter() {
+            let Some(record) = self.records.get_mut(subject) else {
+                continue;
+            };
+            let known = record.refusal.as_ref();
+            if known.is_some_and(|r| r.crashes >= K::MAX_CRASHES && r.class == *subjects) {
+                continue;
+            }
+            record.refusal = Some(Refused {
+                at: now,
+                crashes: *count,
+                class: subjects.clone(),
+            });
+            is_new = true;
+        }
+        if is_new {
+            self.verdicts.push(Verdict::refused(subjects));
+        }
     }
 }
 
@@ -122,14 +250,17 @@
 impl<K: Subject> Blame<K> {
     /// Records that an endpoint has written the whole answer to a request with these subjects.
     pub fn record_sound(&mut self, subjects: &[K], now: Instant) {
+        self.answers.record_request(subjects, now);
+        let mut is_changed = false;
         for subject in subjects {
-            if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(subject) {
-                self.answered.insert(subject.clone(), now);
-            }
-            if self.clear(subject) {
-                self.rebut(subject, now);
+            if let Some(record) = self.clear(subject) {
+                self.rebuttals.insert(subject.clone(), now);
+                is_changed |= record.refusal.is_some();
             }
         }
+        if is_changed {
+            self.judge(now);
+        }
     }
 
     /// Records that the connection to an endpoint broke before the answer to a request with these subjects was
@@ -151,8 +282,10 @@
                 at: now,
                 heard_at: now,
                 is_repeat,
+                answers: self.answers.requests(),
             };
             self.blame(subjects, known);
+            self.judge(now);
         } else if self.breaks.len() < MAX_RECORDS {
             self.breaks.push(Break {
                 endpoint: endpoint.clone(),
@@ -173,15 +306,20 @@
             .into_iter()
             .partition(is_of);
         self.breaks = others;
+        if found.is_empty() {
+            return;
+        }
         for found in found {
             let known = Known {
                 crash: crash_id(endpoint, incarnation),
                 at: found.at,
                 heard_at: now,
                 is_repeat: found.is_repeat,
+                answers: self.answers.requests(),
             };
             self.blame(&found.subjects, known);
         }
+        self.judge(now);
     }
 
     /// Refuses subjects under which an endpoint has ended, unless an answer to them is remembered: a single crash is
@@ -194,8 +332,12 @@
             let Some(record) = self.record(subject) else {
                 return;
             };
-            if record.refused_at.is_none() {
-                record.refuse(now, 1);
+            if record.refusal.is_none() {
+                record.refusal = Some(Refused {
+                    at: now,
+                    crashes: 1,
+                    class: [subject.clone()].into(),
+                });
                 self.verdicts.push(Verdict::RefusedEarly(subject.clone()));
             }
         }
@@ -215,11 +357,12 @@
         let is_recent = |at: Instant, span| now.duration_since(at) < span;
         self.breaks.retain(|b| is_recent(b.at, SIGN_TIME));
         self.ended.retain(|_, at| is_recent(*at, SIGN_TIME));
-        self.answered
-            .retain(|_, at| is_recent(*at, K::ANSWER_MEMORY));
-        self.rebuttals.retain(|(_, at)| is_recent(*at, REPORT_SPAN));
-        self.records.retain(|_, record| match record.refused_at {
-            Some(at) => is_recent(at, REFUSAL_TIME),
+        self.answers.expire(K::ANSWER_MEMORY, now);
+        self.rebuttals.retain(|_, at| is_recent(*at, REPORT_SPAN));
+        self.crashes
+            .retain(|_, known| is_recent(known.at, CRASH_TTL));
+        self.records.retain(|_, record| match &record.refusal {
+            Some(refusal) => is_recent(refusal.at, REFUSAL_TIME),
             None => {
                 record.crashes.retain(|c| is_recent(c.at, CRASH_TTL));
                 !record.crashes.is_empty()
@@ -227,49 +370,52 @@
         });
     }
 
-    /// Counts a crash against subjects that are not known to be sound.
-    fn blame(&mut self, subjects: &[K], crash: Known) {
+    /// Counts a crash against subjects that were not answered since; returns whether that is new for any.
+    fn blame(&mut self, subjects: &[K], crash: Known) -> bool {
+        let first = Known {
+            is_repeat: false,
+            ..crash
+        };
+        self.crashes.entry(crash.crash).or_insert(first);
+        let mut is_new = false;
         for subject in subjects {
             if self.is_sound(subject, crash.at) {
                 continue;
             }
-            let max_crashes = self.max_crashes(subject, crash.heard_at);
             let Some(record) = self.record(subject) else {
-                return;
+                return is_new;
             };
-            if !record.add(crash) {
-                continue;
-            }
-            let count = record.count(crash.heard_at);
-            if !record.is_refused_for(K::MAX_CRASHES) && count >= max_crashes {
-                record.refuse(crash.heard_at, count);
-                self.verdicts.push(Verdict::Refused(subject.clone()));
-            }
+            is_new |= record.add(crash);
         }
+        is_new
     }
 
     /// Returns the record of a subject, or `None` if there are too many.
-    fn record(&mut self, subject: &K) -> Option<&mut Record> {
+    fn record(&mut self, subject: &K) -> Option<&mut Record<K>> {
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(subject) {
             return None;
         }
         Some(self.records.entry(subject.clone()).or_default())
     }
 
-    /// Drops the blame of a subject; returns whether there was any.
-    fn clear(&mut self, subject: &K) -> bool {
-        let Some(record) = self.records.remove(subject) else {
-            return false;
-        };
-        if record.refused_at.is_some() {
+    /// Drops the blame of a subject, and returns it.
+    fn clear(&mut self, subject: &K) -> Option<Record<K>> {
+        let record = self.records.remove(subject)?;
+        if let Some(refusal) = &record.refusal {
             self.verdicts.push(Verdict::Sound(subject.clone()));
+            let others = refusal.class.iter().filter(|member| *member != subject);
+            let others: Arc<[K]> = others.cloned().collect();
+            for other in others.iter() {
+                let refusal = self.records.get_mut(other).and_then(|r| r.refusal.as_mut());
+                if let Some(refusal) = refusal {
+                    refusal.class = others.clone();
+                }
+            }
+            if !others.is_empty() {
+                self.verdicts.push(Verdict::refused(&others));
+            }
         }
-        true
-    }
-
-    fn rebut(&mut self, subject: &K, now: Instant) {
-        self.rebuttals.retain(|(known, _)| known != subject);
-        self.rebuttals.push((subject.clone(), now));
+        Some(record)
     }
 }
 
@@ -279,73 +425,154 @@
     #[must_use]
     pub fn news(&self, now: Instant) -> News<K> {
         let is_recent = |at: Instant| now.duration_since(at) < REPORT_SPAN;
-        let mut crashes: Vec<(&K, &Known, usize)> = Vec::new();
-        for (subject, record) in &self.records {
-            let recent = record.crashes.iter().filter(|c| is_recent(c.heard_at));
-            crashes.extend(recent.map(|known| (subject, known, record.crashes.len())));
-        }
-        crashes.sort_by_key(|(_, known, count)| Reverse((*count, known.heard_at)));
-        let crashes = crashes.into_iter().map(|(subject, known, _)| Crash {
-            subject: subject.clone(),
-            crash: known.crash,
-            age: now.duration_since(known.at),
-            is_repeat: known.is_repeat,
-        });
-        let sound = self.rebuttals.iter().rev();
-        let sound = sound.filter(|(_, at)| is_recent(*at));
+        let mut sound: Vec<(&K, &Instant)> = self.rebuttals.iter().collect();
+        sound.retain(|(_, at)| is_recent(**at));
+        sound.sort_by_key(|(_, at)| Reverse(**at));
+        let sound = sound.into_iter().map(|(subject, _)| subject.clone());
         News {
-            crashes: crashes.take(MAX_NEWS).collect(),
+            crashes: self.recent_crashes(now),
             refused: self.refusals(MAX_NEWS, now),
-            sound: sound
-                .map(|(subject, _)| subject.clone())
-                .take(MAX_NEWS)
-                .collect(),
+            sound: sound.take(MAX_NEWS).collect(),
+            joint: self.joint_refusals(now),
+            answered: self.answered_before(now),
+        }
+    }
+
+    /// Lists subjects with several recent crashes that were answered before, those with most crashes first.
+    fn answered_before(&self, now: Instant) -> Vec<Answered<K>> {
+        if !K::IS_PART {
+            return Vec::new();
+        }
+        let is_recent = |known: &Known| now.duration_since(known.heard_at) < REPORT_SPAN;
+        let blamed = self.records.iter().filter(|(_, record)| {
+            record.crashes.len() + 1 >= K::MAX_CRASHES && record.crashes.iter().any(is_recent)
+        });
+        let answered = blamed.filter_map(|(subject, record)| {
+            let latest = self.answers.latest(subject)?;
+            let answered = Answered {
+                subject: subject.clone(),
+                age: now.duration_since(latest),
+            };
+            Some((record.crashes.len(), answered))
+        });
+        let mut answered: Vec<_> = answered.collect();
+        answered.sort_by_key(|(count, _)| Reverse(*count));
+        let answered = answered.into_iter().map(|(_, answered)| answered);
+        answered.take(MAX_NEWS).collect()
+    }
+
+    /// Lists recent crashes, those of much blamed subjects first, then the newest.
+    ///
+    /// A crash is told with all subjects at once: an entry that knew some of them would take these for the cause.
+    fn recent_crashes(&self, now: Instant) -> Vec<Crash<K>> {
+        let mut found: HashMap<_, (usize, Instant, Crash<K>)> = HashMap::new();
+        for (subject, record) in &self.records {
+            for known in &record.crashes {
+                if now.duration_since(known.heard_at) >= REPORT_SPAN {
+                    continue;
+                }
+                let request = (!K::IS_PART).then_some(subject);
+                let entry = found.entry((known.crash, known.is_repeat, request));
+                let (count, heard_at, crash) = entry.or_insert_with(|| {
+                    let crash = Crash {
+                        subjects: Vec::new(),
+                        crash: known.crash,
+                        age: now.duration_since(known.at),
+                        is_repeat: known.is_repeat,
+                    };
+                    (0, known.heard_at, crash)
+                });
+                *count = record.crashes.len().max(*count);
+                *heard_at = known.heard_at.max(*heard_at);
+                crash.subjects.push(subject.clone());
+            }
         }
+        let mut found: Vec<_> = found.into_values().collect();
+        found.sort_by_key(|(count, heard_at, _)| Reverse((*count, *heard_at)));
+        let crashes = found.into_iter().map(|(_, _, crash)| crash);
+        crashes.take(MAX_NEWS).collect()
     }
 
     /// Applies what another entry tells; the entry's own experience that a subject is sound goes first.
     pub fn merge(&mut self, news: &News<K>, now: Instant) {
+        let mut is_changed = false;
         for subject in &news.sound {
-            self.answered.insert(subject.clone(), now);
-            self.clear(subject);
+            self.answers.record(subject, now);
+            if self.clear(subject).is_some() {
+                self.answers.count_request();
+                is_changed = true;
+            }
         }
-        let blamed = news.crashes.iter().map(|crash| (&crash.subject, crash.age));
+        let blamed = news.crashes.iter();
+        let blamed = blamed.flat_map(|c| c.subjects.iter().map(|subject| (subject, c.age)));
         let refused = news.refused.iter().map(|r| (&r.subject, r.age));
-        for (subject, age) in blamed.chain(refused) {
+        let joint = news.joint.iter();
+        let joint = joint.flat_map(|r| r.subject.iter().map(|subject| (subject, r.age)));
+        for (subject, age) in blamed.chain(refused).chain(joint) {
             let at = now.checked_sub(age).unwrap_or(now);
             if self.is_sound(subject, at) && !news.sound.contains(subject) {
-                self.rebut(subject, now);
+                self.rebuttals.insert(subject.clone(), now);
             }
         }
+        for Answered { subject, age } in &news.answered {
+            let at = now.checked_sub(*age).unwrap_or(now);
+            is_changed |= self.answers.learn(subject, at);
+        }
         for crash in &news.crashes {
             let known = Known {
                 crash: crash.crash,
                 at: now.checked_sub(crash.age).unwrap_or(now),
                 heard_at: now,
                 is_repeat: crash.is_repeat,
+                answers: self.answers.requests(),
             };
-            self.blame(std::slice::from_ref(&crash.subject), known);
+            is_changed |= self.blame(&crash.subjects, known);
         }
         for refusal in &news.refused {
             self.merge_refusal(refusal, now);
         }
+        for refusal in &news.joint {
+            self.merge_joint_refusal(refusal, now);
+        }
+        if is_changed {
+            self.judge(now);
+        }
     }
 
-    /// Lists up to `limit` refused subjects, a sample if they are more.
+    /// Lists up to `limit` subjects that are refused by themselves, a sample if they are more.
     #[must_use]
     pub fn refusals(&self, limit: usize, now: Instant) -> Vec<Refusal<K>> {
-        let refused = self.records.iter().filter_map(|(subject, record)| {
-            let age = now.duration_since(record.refused_at?);
-            (age < REFUSAL_TIME).then(|| Refusal {
-                subject: subject.clone(),
-                age,
-                crashes: record.refused_for,
-            })
+        let refused = self.valid_refusals(now).filter(|r| r.is_single());
+        let refused = refused.map(|refusal| Refusal {
+            subject: refusal.class[0].clone(),
+            age: now.duration_since(refusal.at),
+            crashes: refusal.crashes.try_into().unwrap_or(u32::MAX),
         });
         // A sample, so that all are told in some messages.
         refused.sample(&mut rand::rng(), limit)
     }
 
+    /// Lists some of the classes of subjects that are refused together.
+    fn joint_refusals(&self, now: Instant) -> Vec<Refusal<Vec<K>>> {
+        let is_told = |r: &&Refused<K>| !r.is_single() && r.class.len() <= MAX_JOINT_SUBJECTS;
+        let refused = self.valid_refusals(now).filter(is_told);
+        let refused = refused.map(|refusal| Refusal {
+            subject: refusal.class.to_vec(),
+            age: now.duration_since(refusal.at),
+            crashes: refusal.crashes.try_into().unwrap_or(u32::MAX),
+        });
+        refused.sample(&mut rand::rng(), MAX_JOINT)
+    }
+
+    /// Returns the refusals that are remembered, each class once.
+    fn valid_refusals(&self, now: Instant) -> impl Iterator<Item = &Refused<K>> {
+        self.records.iter().filter_map(move |(subject, record)| {
+            let refusal = record.refusal.as_ref()?;
+            let is_recent = now.duration_since(refusal.at) < REFUSAL_TIME;
+            (is_recent && refusal.class.first() == Some(subject)).then_some(refusal)
+        })
+    }
+
     /// Applies what another process tells of a refused subject.
     pub fn merge_refusal(&mut self, refusal: &Refusal<K>, now: Instant) {
         let Refusal {
@@ -357,28 +584,51 @@
         let count = usize::try_from(*crashes).unwrap_or(usize::MAX);
         if *age >= REFUSAL_TIME
             || self.is_sound(subject, at)
-            || self.is_answered(subject, now) && count < K::MAX_CRASHES_IF_ANSWERED
+            || self.is_answered(subject, now) && count < K::MAX_CRASHES + K::ANSWERED_ALLOWANCE
+            || self.is_explained(subject, count)
         {
             return;
         }
         let Some(record) = self.record(subject) else {
             return;
         };
-        if !record.is_refused_for(count.min(K::MAX_CRASHES)) {
-            record.refuse(at, count);
-            self.verdicts.push(match count < K::MAX_CRASHES {
-                true => Verdict::RefusedEarly(subject.clone()),
-                false => Verdict::Refused(subject.clone()),
-            });
+        if record.is_refused_for(count.min(K::MAX_CRASHES)) {
+            return;
         }
+        record.refusal = Some(Refused {
+            at,
+            crashes: count,
+            class: [subject.clone()].into(),
+        });
+        self.verdicts.push(match count < K::MAX_CRASHES {
+            true => Verdict::RefusedEarly(subject.clone()),
+            false => Verdict::Refused(subject.clone()),
+        });
     }
-}
 
-/// Returns the time for which a subject is refused after `crashes` crashes.
-fn refusal_time<K: Subject>(crashes: u32) -> Duration {
-    match usize::try_from(crashes) {
-        Ok(crashes) if crashes < K::MAX_CRASHES => EARLY_REFUSAL_TIME,
-        _ => REFUSAL_TIME,
+    /// Applies what another entry tells of subjects that are refused together.
+    fn merge_joint_refusal(&mut self, refusal: &Refusal<Vec<K>>, now: Instant) {
+        let at = now.checked_sub(refusal.age).unwrap_or(now);
+        let count = usize::try_from(refusal.crashes).unwrap_or(usize::MAX);
+        let is_blamed = |subject: &&K| !self.is_sound(subject, at);
+        let class: Arc<[K]> = refusal.subject.iter().filter(is_blamed).cloned().collect();
+        let is_known = |subject: &K| {
+            let record = self.records.get(subject);
+            record.is_some_and(|record| record.refusal.is_some() || record.crashes.len() >= count)
+        };
+        if refusal.age >= REFUSAL_TIME || class.is_empty() || class.iter().any(is_known) {
+            return;
+        }
+        for subject in class.iter() {
+            if let Some(record) = self.record(subject) {
+                record.refusal = Some(Refused {
+                    at,
+                    crashes: count,
+                    class: class.clone(),
+                });
+            }
+        }
+        self.verdicts.push(Verdict::refused(&class));
     }
 }
 
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -92,7 +92,7 @@
     /// Gossip addresses of other entries that the sender knows.
     #[serde(rename = "known")]
     members: Vec<SocketAddr>,
-    /// Prompt parts under which endpoints crash.
+    /// Prompt parts that are refused, or were cleared of it.
     #[serde(default)]
     parts: News<Part>,
     /// Limits that endpoints state.
@@ -120,6 +120,12 @@
     credit: Vec<limits::Grant>,
 }
 
+/// Message with the evidence against prompt parts, and for them.
+#[derive(Debug, Deserialize, Serialize)]
+struct Evidence {
+    parts: News<Part>,
+}
+
 /// Another entry from which messages come in.
 struct Member {
     process: id::Process,
@@ -314,6 +320,10 @@
     ) {
         loads.truncate(MAX_ENDPOINTS);
         let (_, newest_revision, _) = self.follower.position();
+        let news = self
+            .context
+            .with_balancer(|balancer| balancer.part_news(now));
+        let (parts, evidence) = news.split();
         let mut missing = self
             .context
             .with_balancer(|balancer| balancer.recently_missing(MISSING_SPAN, now));
@@ -333,9 +343,7 @@
                 .context
                 .with_balancer(|balancer| balancer.recent_departures(MAX_DEPARTURES, now)),
             members: self.sample(MAX_ADDRESSES),
-            parts: self
-                .context
-                .with_balancer(|balancer| balancer.part_news(now)),
+            parts,
             limits: self
                 .context
                 .with_balancer(|balancer| balancer.limit_news(MAX_LIMITS, now)),
@@ -353,6 +361,10 @@
         // Other zones have watchers of their own.
         message.watchers = self.watching.watchers();
         self.send_to(&message, &near).await;
+        for parts in evidence {
+            self.send_bytes(rmp_serde::to_vec_named(&Evidence { parts }), targets)
+                .await;
+        }
     }
 
     /// Splits the addresses of other entries into those in the own zone or an unknown one, and the others.
@@ -443,6 +455,12 @@
                 .with_balancer(|balancer| balancer.receive_credit(&handover.credit, now));
             return;
         }
+        if let Ok(Evidence { parts }) = rmp_serde::from_slice::<Evidence>(bytes) {
+            let now = Instant::now();
+            self.context
+                .with_balancer(|balancer| balancer.merge_part_news(&parts, now));
+            return;
+        }
         match rmp_serde::from_slice(bytes) {
             Ok(message) => self.handle(message, from),
             Err(e) => log::debug!("gossip message from {from} cannot be decoded: {e}"),
@@ -525,6 +543,8 @@
                     log::info!(fingerprint:% = format!("{fingerprint:016x}"); "request is sound");
                     "sound"
                 }
+                // Other requests explain nothing.
+                Verdict::RefusedTogether(_) | Verdict::Explained(_) => continue,
             };
             self.context
                 .metrics
@@ -534,12 +554,29 @@
         }
         let parts = self.context.with_balancer(Balancer::take_part_verdicts);
         for verdict in parts {
-            match verdict {
-                Verdict::Refused(part) | Verdict::RefusedEarly(part) => {
+            let name = match verdict {
+                Verdict::Refused(part) => {
                     log::warn!(part:% = part; "prompt part is refused: endpoints crash under it");
+                    "refused"
                 }
-                Verdict::Sound(part) => log::info!(part:% = part; "prompt part is sound"),
-            }
+                Verdict::RefusedEarly(part) => {
+                    log::warn!(part:% = part; "prompt part is refused after one crash: earlier ones may be unknown");
+                    "refused-early"
+                }
+                Verdict::RefusedTogether(parts) => {
+                    log::warn!(parts:% = parts.join(","); "prompt parts are refused together: endpoints crash under one of them");
+                    "refused-together"
+                }
+                Verdict::Sound(part) => {
+                    log::info!(part:% = part; "prompt part is sound");
+                    "sound"
+                }
+                Verdict::Explained(part) => {
+                    log::info!(part:% = part; "prompt part is no longer refused: another one explains the crashes");
+                    "explained"
+                }
+            };
+            self.context.metrics.parts.with_label_values(&[name]).inc();
         }
     }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) retries: IntCounterVec,
     /// Changes of which requests are refused because endpoints crash under them, by verdict.
     pub(crate) suspects: IntCounterVec,
+    /// Changes of which prompt parts are refused because endpoints crash under them, by verdict.
+    pub(crate) parts: IntCounterVec,
     /// Endpoints that may have restarted, and are taken for cold.
     pub(crate) restarts: IntCounter,
     /// Attempts at endpoints in other zones.
@@ -121,6 +123,11 @@
                 "Requests found to crash endpoints, or cleared of it, by verdict.",
                 "verdict",
             )?,
+            parts: counter(
+                "apricot_direct_suspect_parts_total",
+                "Prompt parts found to crash endpoints, or cleared of it, by verdict.",
+                "verdict",
+            )?,
             retries: counter(
                 "apricot_direct_retries_total",
                 "Retries by decision of the budget.",
--- a/crates/direct/tests/suite/main.rs
+++ b/crates/direct/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod late_admission;
 mod load_reports;
 mod news_age;
+mod part_evidence;
 mod pass_gaps;
 mod prompt_parts;
 mod rank_refusal;
