Blame: find crashing parts anywhere in a prompt

Cause: Headers kept the first 32 parts of a prompt and left out ids of more than 32 characters, without a line in the log or a count. By reading and by test the same holds for a list in two header lines (read up to the end of the first, whose last part was taken for the request's own) and for a value that is not text. Behind that, beyond 2,048 blamed subjects nothing was blamed, and beyond 4,096 answers none was remembered.

Ruled out: that what entries tell each other is the limit at hand; with the evidence told by crash, part_fleets::bounds_of_long_prompts held on, too.

What is left out is counted in apricot_direct_left_out_total, and lost evidence is logged. Any answer to another request is enough to doubt a part that was answered before.

--- a/crates/direct/src/balancer/outcomes.rs
+++ b/crates/direct/src/balancer/outcomes.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{Balancer, Outcome, Placement};
-use crate::{Answer, Fingerprint, Part, Verdict, limits, metadata::Limit};
+use crate::{Answer, Evicted, Fingerprint, Part, Verdict, limits, metadata::Limit};
 
 /// # Outcomes of attempts
 impl Balancer {
@@ -194,6 +194,17 @@
         self.blame.take_verdicts()
     }
 
+    /// Returns how much of what is known of crashes was forgotten for lack of room.
+    #[must_use]
+    pub fn evicted(&self) -> Evicted {
+        let (requests, parts) = (self.suspects.evicted(), self.blame.evicted());
+        Evicted {
+            answers: requests.answers + parts.answers,
+            breaks: requests.breaks + parts.breaks,
+            suspects: requests.suspects + parts.suspects,
+        }
+    }
+
     /// Returns the requests that are refused, or no longer, since the last call.
     pub fn take_request_verdicts(&mut self) -> Vec<Verdict<Fingerprint>> {
         self.suspects.take_verdicts()
--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod judge;
+mod limit;
 mod news;
 mod record;
 mod subject;
@@ -15,10 +16,11 @@
 
 use conf::id;
 use group::{REFUSAL_TIME, Refusal};
-use rand::seq::IteratorRandom as _;
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
+pub(crate) use self::subject::list_parts;
 use self::{
     answers::Answers,
     judge::{Class, Standing, Suspect},
@@ -39,15 +41,19 @@
 const SIGN_TIME: Duration = Duration::from_secs(5);
 /// Age up to which crashes and rebuttals are told to other entries.
 const REPORT_SPAN: Duration = Duration::from_secs(2);
-/// Maximum number of blamed subjects, and of breaks that are remembered.
-const MAX_RECORDS: usize = 2048;
-/// Maximum number of entries in each list of [`News`], so that they fit into one packet.
+/// Maximum number of subjects of connections that broke, whose endpoints have not been found to have ended.
+const MAX_BREAK_SUBJECTS: usize = 65_536;
+/// Maximum number of crashes that are remembered by themselves.
+const MAX_KNOWN_CRASHES: usize = 4096;
+/// Maximum number of entries in each list of [`News`]; which ones are told alternates if they are more.
 const MAX_NEWS: usize = 16;
+/// Number of crashes in [`News`] that are chosen by what they tell.
+const MAX_FIRST_NEWS: usize = 12;
+/// Maximum number of subjects of all crashes in [`News`], unless a single crash has more.
+const MAX_NEWS_SUBJECTS: usize = 1024;
 /// Maximum number of joint refusals in [`News`], and of subjects in each.
 const MAX_JOINT: usize = 2;
 const MAX_JOINT_SUBJECTS: usize = 16;
-/// Number of answers to other requests since a subject's first crash, from which on [`Subject::DOUBT_TIME`] is enough.
-const MIN_OTHER_ANSWERS: u64 = 2;
 
 /// Finds the subjects under which endpoints crash: requests, and parts of their prompts, whatever else a request
 /// holds.
@@ -73,6 +79,18 @@
     /// Blamed subjects that are known to be sound, for other entries.
     rebuttals: HashMap<K, Instant>,
     verdicts: Vec<Verdict<K>>,
+    evicted: Evicted,
+}
+
+/// Numbers of what was forgotten for lack of room, since the start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Evicted {
+    /// Subjects whose answers were forgotten.
+    pub answers: u64,
+    /// Broken connections.
+    pub breaks: u64,
+    /// Blamed subjects.
+    pub suspects: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -94,6 +112,7 @@
             answers: Answers::default(),
             rebuttals: HashMap::new(),
             verdicts: Vec::new(),
+            evicted: Evicted::default(),
         }
     }
 }
@@ -117,6 +136,15 @@
         std::mem::take(&mut self.verdicts)
     }
 
+    /// Returns how much was forgotten for lack of room.
+    #[must_use]
+    pub const fn evicted(&self) -> Evicted {
+        Evicted {
+            answers: self.answers.evicted(),
+            ..self.evicted
+        }
+    }
+
     /// Returns whether a whole answer to the subject is remembered.
     fn is_answered(&self, subject: &K, now: Instant) -> bool {
         let latest = self.answers.latest(subject);
@@ -144,9 +172,11 @@
             return Standing::Silent;
         }
         let first = record.crashes.iter().min_by_key(|known| known.at);
-        let answers = first.map_or(0, |first| self.answers.requests() - first.answers);
-        let is_doubtful = is_past(first.map(|first| first.at), K::DOUBT_TIME);
-        match is_doubtful && answers >= MIN_OTHER_ANSWERS {
+        let is_doubtful = first.is_some_and(|first| {
+            let are_others_answered = self.answers.requests() > first.answers;
+            are_others_answered && is_past(Some(first.at), K::DOUBT_TIME)
+        });
+        match is_doubtful {
             true => Standing::Doubtful,
             false => Standing::Sound,
         }
@@ -286,7 +316,8 @@
             };
             self.blame(subjects, known);
             self.judge(now);
-        } else if self.breaks.len() < MAX_RECORDS {
+        } else {
+            self.make_room_for_break(subjects.len());
             self.breaks.push(Break {
                 endpoint: endpoint.clone(),
                 incarnation,
@@ -297,6 +328,19 @@
         }
     }
 
+    /// Forgets the oldest broken connections until there is room for one with `count` subjects.
+    fn make_room_for_break(&mut self, count: usize) {
+        let mut total: usize = self.breaks.iter().map(|b| b.subjects.len()).sum();
+        let oldest = self.breaks.iter().take_while(|b| {
+            let is_full = total + count > MAX_BREAK_SUBJECTS;
+            total -= b.subjects.len();
+            is_full
+        });
+        let oldest = oldest.count();
+        self.breaks.drain(..oldest);
+        self.evicted.breaks += oldest as u64;
+    }
+
     /// Records a sign that an endpoint has ended: it cannot be reached, another one has its address, or
     /// others name it as lost.
     pub fn record_end(&mut self, endpoint: &id::Endpoint, incarnation: Incarnation, now: Instant) {
@@ -329,9 +373,7 @@
             if self.is_answered(subject, now) {
                 continue;
             }
-            let Some(record) = self.record(subject) else {
-                return;
-            };
+            let record = self.record(subject);
             if record.refusal.is_none() {
                 record.refusal = Some(Refused {
                     at: now,
@@ -357,7 +399,7 @@
         let is_recent = |at: Instant, span| now.duration_since(at) < span;
         self.breaks.retain(|b| is_recent(b.at, SIGN_TIME));
         self.ended.retain(|_, at| is_recent(*at, SIGN_TIME));
-        self.answers.expire(K::ANSWER_MEMORY, now);
+        self.answers.expire(now);
         self.rebuttals.retain(|_, at| is_recent(*at, REPORT_SPAN));
         self.crashes
             .retain(|_, known| is_recent(known.at, CRASH_TTL));
@@ -376,26 +418,26 @@
             is_repeat: false,
             ..crash
         };
+        if self.crashes.len() >= MAX_KNOWN_CRASHES {
+            limit::evict(&mut self.crashes, |known| known.at);
+        }
         self.crashes.entry(crash.crash).or_insert(first);
         let mut is_new = false;
         for subject in subjects {
             if self.is_sound(subject, crash.at) {
                 continue;
             }
-            let Some(record) = self.record(subject) else {
-                return is_new;
-            };
-            is_new |= record.add(crash);
+            is_new |= self.record(subject).add(crash);
         }
         is_new
     }
 
-    /// Returns the record of a subject, or `None` if there are too many.
-    fn record(&mut self, subject: &K) -> Option<&mut Record<K>> {
-        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(subject) {
-            return None;
+    /// Returns the record of a subject; if there are too many, those with fewest crashes give way.
+    fn record(&mut self, subject: &K) -> &mut Record<K> {
+        if self.records.len() >= K::MAX_BLAMED && !self.records.contains_key(subject) {
+            self.evicted.suspects += limit::evict(&mut self.records, Record::rank);
         }
-        Some(self.records.entry(subject.clone()).or_default())
+        self.records.entry(subject.clone()).or_default()
     }
 
     /// Drops the blame of a subject, and returns it.
@@ -427,6 +469,7 @@
         let is_recent = |at: Instant| now.duration_since(at) < REPORT_SPAN;
         let mut sound: Vec<(&K, &Instant)> = self.rebuttals.iter().collect();
         sound.retain(|(_, at)| is_recent(**at));
+        sound.shuffle(&mut rand::rng());
         sound.sort_by_key(|(_, at)| Reverse(**at));
         let sound = sound.into_iter().map(|(subject, _)| subject.clone());
         News {
@@ -456,12 +499,13 @@
             Some((record.crashes.len(), answered))
         });
         let mut answered: Vec<_> = answered.collect();
+        answered.shuffle(&mut rand::rng());
         answered.sort_by_key(|(count, _)| Reverse(*count));
         let answered = answered.into_iter().map(|(_, answered)| answered);
         answered.take(MAX_NEWS).collect()
     }
 
-    /// Lists recent crashes, those of much blamed subjects first, then the newest.
+    /// Lists recent crashes: those of much blamed subjects, then the newest, then some of the others.
     ///
     /// A crash is told with all subjects at once: an entry that knew some of them would take these for the cause.
     fn recent_crashes(&self, now: Instant) -> Vec<Crash<K>> {
@@ -488,8 +532,20 @@
             }
         }
         let mut found: Vec<_> = found.into_values().collect();
+        let mut random = rand::rng();
+        found.shuffle(&mut random);
         found.sort_by_key(|(count, heard_at, _)| Reverse((*count, *heard_at)));
+        if let Some(others) = found.get_mut(MAX_FIRST_NEWS..) {
+            others.shuffle(&mut random);
+        }
+        let mut room = MAX_NEWS_SUBJECTS;
         let crashes = found.into_iter().map(|(_, _, crash)| crash);
+        let crashes = crashes.filter(|crash| {
+            let size = crash.subjects.len();
+            let fits = size <= room || room == MAX_NEWS_SUBJECTS;
+            room = room.saturating_sub(if fits { size } else { 0 });
+            fits
+        });
         crashes.take(MAX_NEWS).collect()
     }
 
@@ -589,9 +645,7 @@
         {
             return;
         }
-        let Some(record) = self.record(subject) else {
-            return;
-        };
+        let record = self.record(subject);
         if record.is_refused_for(count.min(K::MAX_CRASHES)) {
             return;
         }
@@ -620,13 +674,11 @@
             return;
         }
         for subject in class.iter() {
-            if let Some(record) = self.record(subject) {
-                record.refusal = Some(Refused {
-                    at,
-                    crashes: count,
-                    class: class.clone(),
-                });
-            }
+            self.record(subject).refusal = Some(Refused {
+                at,
+                crashes: count,
+                class: class.clone(),
+            });
         }
         self.verdicts.push(Verdict::refused(&class));
     }
--- a/crates/direct/src/blame/answers.rs
+++ b/crates/direct/src/blame/answers.rs
@@ -1,9 +1,8 @@
-use std::{collections::HashMap, hash::Hash, time::Duration};
+use std::collections::HashMap;
 
 use tokio::time::Instant;
 
-/// Maximum number of subjects whose answers are remembered.
-const MAX_SUBJECTS: usize = 4096;
+use super::{Subject, limit};
 
 /// Whole answers by subject.
 ///
@@ -12,6 +11,8 @@
 pub(super) struct Answers<K> {
     latest: HashMap<K, Answer>,
     requests: u64,
+    /// Number of subjects that were forgotten for others.
+    evicted: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -32,11 +33,12 @@
         Self {
             latest: HashMap::new(),
             requests: 0,
+            evicted: 0,
         }
     }
 }
 
-impl<K: Clone + Eq + Hash> Answers<K> {
+impl<K: Subject> Answers<K> {
     /// Records an answer to a request with these subjects.
     pub(super) fn record_request(&mut self, subjects: &[K], now: Instant) {
         if !subjects.is_empty() {
@@ -61,8 +63,8 @@
             };
             return;
         }
-        if self.latest.len() >= MAX_SUBJECTS {
-            self.evict();
+        if self.latest.len() >= K::MAX_ANSWERED {
+            self.evicted += limit::evict(&mut self.latest, Answer::rank);
         }
         let answer = Answer {
             at: now,
@@ -80,14 +82,6 @@
         is_new
     }
 
-    /// Forgets half of the subjects.
-    fn evict(&mut self) {
-        let mut ranks: Vec<_> = self.latest.values().map(Answer::rank).collect();
-        let middle = ranks.len() / 2;
-        let (_, limit, _) = ranks.select_nth_unstable(middle);
-        self.latest.retain(|_, answer| answer.rank() > *limit);
-    }
-
     /// Returns when a subject was answered last, if that is remembered.
     pub(super) fn latest(&self, subject: &K) -> Option<Instant> {
         self.latest.get(subject).map(|answer| answer.at)
@@ -98,9 +92,14 @@
         self.requests
     }
 
-    /// Forgets answers that are older than `memory`.
-    pub(super) fn expire(&mut self, memory: Duration, now: Instant) {
+    /// Returns the number of subjects that were forgotten for others since the start.
+    pub(super) const fn evicted(&self) -> u64 {
+        self.evicted
+    }
+
+    /// Forgets answers that no longer count.
+    pub(super) fn expire(&mut self, now: Instant) {
         self.latest
-            .retain(|_, answer| now.duration_since(answer.at) < memory);
+            .retain(|_, answer| now.duration_since(answer.at) < K::ANSWER_MEMORY);
     }
 }
--- a/crates/direct/src/blame/record.rs
+++ b/crates/direct/src/blame/record.rs
@@ -79,6 +79,12 @@
         is_new
     }
 
+    /// Returns what decides which records give way to others: the smallest first.
+    pub(super) fn rank(&self) -> (bool, usize, Option<Instant>) {
+        let heard_at = self.crashes.iter().map(|known| known.heard_at).max();
+        (self.refusal.is_some(), self.crashes.len(), heard_at)
+    }
+
     /// Returns whether the subject is refused, or was, for at least `crashes` crashes.
     pub(super) fn is_refused_for(&self, crashes: usize) -> bool {
         let refusal = self.refusal.as_ref();
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Fingerprint, Outcome, Placement, Spill,
+    blame::list_parts,
     call::{Context, millis},
     limits::Change,
     metadata,
@@ -211,7 +212,7 @@
             request:% = request.id,
             endpoint:% = self.placement.endpoint,
             fingerprint:% = format!("{fingerprint:016x}"),
-            parts:% = request.shared_parts.join(","),
+            parts:% = list_parts(&request.shared_parts),
             repeat = is_repeat;
             "connection broke during a run"
         );
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -18,8 +18,9 @@
 use wire::Watcher;
 
 use crate::{
-    Balancer, Fingerprint, Incarnation, Load, Loss, News, Part, Settings, Verdict, call::Context,
-    dispatch::log_limit, limits, sync, ticks::Ticks, watching::Watching,
+    Balancer, Fingerprint, Incarnation, Load, Loss, News, Part, Settings, Verdict,
+    blame::list_parts, call::Context, dispatch::log_limit, limits, sync, ticks::Ticks,
+    watching::Watching,
 };
 
 /// Interval at which changes of the local load are checked for and sent.
@@ -318,7 +319,7 @@
         targets: &[SocketAddr],
         now: Instant,
     ) {
-        loads.truncate(MAX_ENDPOINTS);
+        self.truncate("load", &mut loads);
         let (_, newest_revision, _) = self.follower.position();
         let news = self
             .context
@@ -327,7 +328,7 @@
         let mut missing = self
             .context
             .with_balancer(|balancer| balancer.recently_missing(MISSING_SPAN, now));
-        missing.truncate(MAX_ENDPOINTS);
+        self.truncate("missing", &mut missing);
         let mut message = Message {
             process: self.process.clone(),
             sync_address: self.sync_address,
@@ -367,6 +368,14 @@
         }
     }
 
+    /// Drops and counts what does not fit into a message.
+    fn truncate<T>(&self, name: &str, list: &mut Vec<T>) {
+        let left_out = list.len().saturating_sub(MAX_ENDPOINTS) as u64;
+        list.truncate(MAX_ENDPOINTS);
+        let counter = &self.context.metrics.left_out;
+        counter.with_label_values(&[name]).inc_by(left_out);
+    }
+
     /// Splits the addresses of other entries into those in the own zone or an unknown one, and the others.
     fn split_by_zone(&self, targets: &[SocketAddr]) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let members = lock(&self.members);
@@ -564,7 +573,7 @@
                     "refused-early"
                 }
                 Verdict::RefusedTogether(parts) => {
-                    log::warn!(parts:% = parts.join(","); "prompt parts are refused together: endpoints crash under one of them");
+                    log::warn!(parts:% = list_parts(&parts); "prompt parts are refused together: endpoints crash under one of them");
                     "refused-together"
                 }
                 Verdict::Sound(part) => {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -46,7 +46,9 @@
 mod window;
 
 pub use balancer::{Attempt, Balancer, Choice, Comfort, Outcome, Placement, Reading, Spill};
-pub use blame::{Answered, Blame, Crash, CrashId, Fingerprint, News, Part, Subject, Verdict};
+pub use blame::{
+    Answered, Blame, Crash, CrashId, Evicted, Fingerprint, News, Part, Subject, Verdict,
+};
 pub use budget::Budget;
 pub use caution::Caution;
 pub use departures::{Departures, Incarnation};
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,7 +2,7 @@
     Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
-use crate::budget;
+use crate::{Evicted, budget};
 
 /// Upper bounds of the latency histogram buckets, in seconds; they are densest around the latency
 /// targets that routes usually state.
@@ -31,6 +31,8 @@
     pub(crate) suspects: IntCounterVec,
     /// Changes of which prompt parts are refused because endpoints crash under them, by verdict.
     pub(crate) parts: IntCounterVec,
+    /// What was forgotten or not told because of a limit, by kind.
+    pub(crate) left_out: IntCounterVec,
     /// Endpoints that may have restarted, and are taken for cold.
     pub(crate) restarts: IntCounter,
     /// Attempts at endpoints in other zones.
@@ -62,6 +64,23 @@
         }
     }
 
+    /// Raises the counters of what was forgotten to the totals.
+    pub(crate) fn record_evicted(&self, totals: Evicted) {
+        let Evicted {
+            answers,
+            breaks,
+            suspects,
+        } = totals;
+        for (kind, total) in [
+            ("answer", answers),
+            ("break", breaks),
+            ("suspect", suspects),
+        ] {
+            let counter = self.left_out.with_label_values(&[kind]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
     /// Creates the metrics and registers them.
     ///
     /// # Errors
@@ -128,6 +147,11 @@
                 "Prompt parts found to crash endpoints, or cleared of it, by verdict.",
                 "verdict",
             )?,
+            left_out: counter(
+                "apricot_direct_left_out_total",
+                "Items forgotten or not told because of a limit, by kind.",
+                "kind",
+            )?,
             retries: counter(
                 "apricot_direct_retries_total",
                 "Retries by decision of the budget.",
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -111,6 +111,8 @@
     let mut view = context.view.clone();
     let mut ticks = time::interval(SWEEP_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    // Number of broken connections and blamed subjects that were forgotten, as last logged.
+    let mut evidence_lost = 0;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
@@ -132,12 +134,19 @@
         for service in restarted {
             log::info!(service:% = service; "endpoints restarted before this entry started");
         }
-        let (lowest, share, retries) = context.with_balancer(|balancer| {
+        let (lowest, share, retries, evicted) = context.with_balancer(|balancer| {
             balancer.retain_known(&current, now);
             let lowest = balancer.lowest_comfortable_load(&current, now);
-            (lowest, balancer.highest_spill(now), balancer.retry_totals())
+            let (share, retries) = (balancer.highest_spill(now), balancer.retry_totals());
+            (lowest, share, retries, balancer.evicted())
         });
         context.metrics.record_retries(retries);
+        context.metrics.record_evicted(evicted);
+        let lost = evicted.breaks + evicted.suspects;
+        if lost > evidence_lost {
+            log::warn!(breaks = evicted.breaks, suspects = evicted.suspects; "evidence of crashes was forgotten for lack of room");
+            evidence_lost = lost;
+        }
         context.metrics.comfortable_load.set(lowest.unwrap_or(0.0));
         context.metrics.other_zone_share.set(share);
     }
