--- a/crates/direct/tests/suite/part_evidence.rs
+++ b/crates/direct/tests/suite/part_evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use direct::{Blame, Part};
+use direct::{Blame, News, Part};
 use tokio::time::{self, Instant};
 
 /// Time between two crashes that do not count as one.
@@ -85,3 +85,59 @@
     }
     assert!(!is_refused(&blame, &["first", "second"]));
 }
+
+/// Returns `count` parts that no other request has.
+fn own_parts(request: u64, count: usize) -> Vec<Part> {
+    let ids = (0..count).map(|place| format!("{request:016x}{place:016x}"));
+    ids.map(Part::from).collect()
+}
+
+/// Guards against crashes that are blamed on nothing while many other parts are blamed, or known to be sound (BUDGET, LOST).
+#[tokio::test(start_paused = true)]
+async fn many_parts_make_room() {
+    let mut blame = Blame::default();
+    for _ in 0..2 {
+        blame.record_sound(&parts(&["first"]), Instant::now());
+    }
+    for number in 0..20 {
+        blame.record_sound(&own_parts(number, 1000), Instant::now());
+        let endpoint = format!("other{number}").into();
+        let others = own_parts(1000 + number, 1000);
+        blame.record_break(&endpoint, 1, &others, false, Instant::now());
+        blame.record_end(&endpoint, 1, Instant::now());
+        time::advance(INTERVAL).await;
+    }
+    for number in 0..3 {
+        crash(&mut blame, number, &["first", "bad"]).await;
+    }
+    assert!(is_refused(&blame, &["bad"]) && !is_refused(&blame, &["first"]));
+    let evicted = blame.evicted();
+    assert!(evicted.answers > 0 && evicted.suspects > 0, "{evicted:?}");
+}
+
+/// Guards against evidence that is lost because it does not fit into a packet.
+#[tokio::test(start_paused = true)]
+async fn evidence_fits_packets() {
+    let mut blame = Blame::default();
+    let answered = own_parts(9, 20);
+    blame.record_sound(&answered, Instant::now());
+    for number in 0..4 {
+        let endpoint = format!("e{number}").into();
+        let mut request = answered.clone();
+        request.extend(own_parts(number, 250));
+        blame.record_break(&endpoint, 1, &request, false, Instant::now());
+        blame.record_end(&endpoint, 1, Instant::now());
+        time::advance(INTERVAL / 2).await;
+    }
+    let (verdicts, packets) = blame.news(Instant::now()).split();
+    assert!(verdicts.crashes.is_empty() && packets.len() > 4);
+    let told = packets.iter().flat_map(|packet| &packet.crashes);
+    let told: usize = told.map(|crash| crash.subjects.len()).sum();
+    // A message has up to 1,024 parts of whole crashes, of 270 each.
+    assert_eq!(told, 3 * 270);
+    for packet in packets {
+        let bytes = rmp_serde::to_vec_named(&packet).unwrap();
+        assert!(bytes.len() <= 4096, "{} bytes", bytes.len());
+        assert_eq!(rmp_serde::from_slice::<News<Part>>(&bytes).unwrap(), packet);
+    }
+}
