Blame: log verdicts in a module of their own

Ruled out: a change of behaviour; lines, metrics and scenarios are the same.

Change: verdicts.rs logs and counts them. Scenarios of part_fleets are built by changes of the default, and checked by one function.

Measured: part_evidence, part_fleets and rolling_ends pass: no late arrival and all sound requests served in all 51 forms and sizes.

--- a/crates/direct/src/blame/news.rs
+++ b/crates/direct/src/blame/news.rs
@@ -44,7 +44,7 @@
     pub answered: Vec<Answered<K>>,
 }
 
-impl<K: Clone> News<K> {
+impl<K: Clone + Default> News<K> {
     /// Splits what is refused or cleared from the evidence for that, which is split into news that fit into a packet each.
     #[must_use]
     pub fn split(self) -> (Self, Vec<Self>) {
@@ -58,18 +58,18 @@
         let verdicts = Self {
             refused,
             sound,
-            ..Self::empty()
+            ..Self::default()
         };
         let mut packet = Self {
             joint,
             answered,
-            ..Self::empty()
+            ..Self::default()
         };
         let mut packets = Vec::new();
         for crash in crashes {
             for subjects in crash.subjects.chunks(MAX_PACKET_SUBJECTS) {
                 if packet.size() > 0 && packet.size() + subjects.len() > MAX_PACKET_SUBJECTS {
-                    packets.push(std::mem::replace(&mut packet, Self::empty()));
+                    packets.push(std::mem::take(&mut packet));
                 }
                 packet.crashes.push(Crash {
                     subjects: subjects.to_vec(),
@@ -83,16 +83,6 @@
         (verdicts, packets)
     }
 
-    const fn empty() -> Self {
-        Self {
-            crashes: Vec::new(),
-            refused: Vec::new(),
-            sound: Vec::new(),
-            joint: Vec::new(),
-            answered: Vec::new(),
-        }
-    }
-
     /// Returns the number of subjects in the evidence.
     fn size(&self) -> usize {
         let crashes = self.crashes.iter().map(|crash| crash.subjects.len());
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -18,9 +18,8 @@
 use wire::Watcher;
 
 use crate::{
-    Balancer, Fingerprint, Incarnation, Load, Loss, News, Part, Settings, Verdict,
-    blame::list_parts, call::Context, dispatch::log_limit, limits, sync, ticks::Ticks,
-    watching::Watching,
+    Balancer, Fingerprint, Incarnation, Load, Loss, News, Part, Settings, call::Context,
+    dispatch::log_limit, limits, sync, ticks::Ticks, verdicts, watching::Watching,
 };
 
 /// Interval at which changes of the local load are checked for and sent.
@@ -234,7 +233,7 @@
             let now = Instant::now();
             lock(&self.ticks).record(now);
             self.remove_lost(now);
-            self.log_verdicts();
+            verdicts::log(&self.context);
             self.log_restarts();
             self.adopt_news_age();
             let loads = self
@@ -535,60 +534,6 @@
         seeds.extend(unknown.take(capacity).collect::<Vec<_>>());
     }
 
-    /// Logs which requests and prompt parts are refused, or no longer, since the last call.
-    fn log_verdicts(&self) {
-        let requests = self.context.with_balancer(Balancer::take_request_verdicts);
-        for verdict in requests {
-            let name = match verdict {
-                Verdict::Refused(fingerprint) => {
-                    log::warn!(fingerprint:% = format!("{fingerprint:016x}"); "request is refused: endpoints crash under it");
-                    "refused"
-                }
-                Verdict::RefusedEarly(fingerprint) => {
-                    log::warn!(fingerprint:% = format!("{fingerprint:016x}"); "request is refused after one crash: earlier ones may be unknown");
-                    "refused-early"
-                }
-                Verdict::Sound(fingerprint) => {
-                    log::info!(fingerprint:% = format!("{fingerprint:016x}"); "request is sound");
-                    "sound"
-                }
-                // Other requests explain nothing.
-                Verdict::RefusedTogether(_) | Verdict::Explained(_) => continue,
-            };
-            self.context
-                .metrics
-                .suspects
-                .with_label_values(&[name])
-                .inc();
-        }
-        let parts = self.context.with_balancer(Balancer::take_part_verdicts);
-        for verdict in parts {
-            let name = match verdict {
-                Verdict::Refused(part) => {
-                    log::warn!(part:% = part; "prompt part is refused: endpoints crash under it");
-                    "refused"
-                }
-                Verdict::RefusedEarly(part) => {
-                    log::warn!(part:% = part; "prompt part is refused after one crash: earlier ones may be unknown");
-                    "refused-early"
-                }
-                Verdict::RefusedTogether(parts) => {
-                    log::warn!(parts:% = list_parts(&parts); "prompt parts are refused together: endpoints crash under one of them");
-                    "refused-together"
-                }
-                Verdict::Sound(part) => {
-                    log::info!(part:% = part; "prompt part is sound");
-                    "sound"
-                }
-                Verdict::Explained(part) => {
-                    log::info!(part:% = part; "prompt part is no longer refused: another one explains the crashes");
-                    "explained"
-                }
-            };
-            self.context.metrics.parts.with_label_values(&[name]).inc();
-        }
-    }
-
     /// Logs which endpoints may have restarted, since the last call.
     fn log_restarts(&self) {
         let restarts = self.context.with_balancer(Balancer::take_restarts);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -42,6 +42,7 @@
 mod sync;
 mod terms;
 mod ticks;
+mod verdicts;
 mod watching;
 mod window;
 
--- a/crates/direct/tests/suite/part_fleets.rs
+++ b/crates/direct/tests/suite/part_fleets.rs
@@ -56,6 +56,13 @@
     }
 }
 
+impl Scenario {
+    fn with(mut self, change: impl FnOnce(&mut Self)) -> Self {
+        change(&mut self);
+        self
+    }
+}
+
 /// What a scenario led to.
 #[derive(Clone, Copy, Debug, Default)]
 struct Summary {
@@ -251,159 +258,72 @@
     }
 }
 
+/// Checks scenarios at all sizes of fleets.
+async fn check_all(scenarios: &[(&str, Scenario)]) {
+    for (entries, seeds) in FLEETS {
+        for (name, scenario) in scenarios {
+            check(name, scenario.with(|s| s.entries = entries), seeds).await;
+        }
+    }
+}
+
 /// Guards against refusing sound requests with the part that crashes endpoints after a pause (LOST), and against many
 /// such requests that reach endpoints late (BUDGET).
 #[tokio::test(start_paused = true)]
 async fn both_bounds_kept() {
     let base = Scenario::default();
     let second = Duration::from_secs(1);
-    let scenarios = [
-        (
-            "no pause",
-            Scenario {
-                pause: Duration::ZERO,
-                alone: Duration::ZERO,
-                ..base
-            },
-        ),
+    let no_pause = base.with(|s| (s.pause, s.alone) = Default::default());
+    let slow = base.with(|s| (s.interval, s.alone) = (4 * second, 9 * second));
+    check_all(&[
+        ("no pause", no_pause),
         ("pause of 15 s", base),
-        (
-            "pause of 70 s",
-            Scenario {
-                pause: 70 * second,
-                ..base
-            },
-        ),
-        ("four shared parts", Scenario { shared: 4, ..base }),
-        (
-            "crashing part first",
-            Scenario {
-                is_first: true,
-                ..base
-            },
-        ),
-        (
-            "crash each 4 s",
-            Scenario {
-                interval: 4 * second,
-                alone: 9 * second,
-                ..base
-            },
-        ),
-        ("loss of news", Scenario { loss: 0.4, ..base }),
-    ];
-    for (entries, seeds) in FLEETS {
-        for (name, scenario) in scenarios {
-            check(
-                name,
-                Scenario {
-                    entries,
-                    ..scenario
-                },
-                seeds,
-            )
-            .await;
-        }
-    }
+        ("pause of 70 s", base.with(|s| s.pause = 70 * second)),
+        ("four shared parts", base.with(|s| s.shared = 4)),
+        ("crashing part first", base.with(|s| s.is_first = true)),
+        ("crash each 4 s", slow),
+        ("loss of news", base.with(|s| s.loss = 0.4)),
+    ])
+    .await;
 }
 
 /// Guards against a part that is never found in long prompts, for which entries remember and tell too little (BUDGET).
 #[tokio::test(start_paused = true)]
 async fn bounds_of_long_prompts() {
     for (entries, own, seeds) in [(3, 1000, 3), (7, 300, 3), (300, 40, 1)] {
-        let base = Scenario {
-            entries,
-            own,
-            shared: 4,
-            ..Scenario::default()
-        };
-        let scenarios = [
-            ("long", base),
-            ("long, loss of news", Scenario { loss: 0.4, ..base }),
-            (
-                "long, restart",
-                Scenario {
-                    forgets: true,
-                    ..base
-                },
-            ),
-        ];
-        for (name, scenario) in scenarios {
-            check(name, scenario, seeds).await;
-        }
+        let base = Scenario::default();
+        let base = base.with(|s| (s.entries, s.own, s.shared) = (entries, own, 4));
+        check("long", base, seeds).await;
+        check("long, loss of news", base.with(|s| s.loss = 0.4), seeds).await;
+        check("long, restart", base.with(|s| s.forgets = true), seeds).await;
     }
 }
 
 /// Guards against the same after all entries have ended, so that nothing is known of any part.
 #[tokio::test(start_paused = true)]
 async fn bounds_after_restart() {
-    let base = Scenario {
-        forgets: true,
-        ..Scenario::default()
-    };
-    for (entries, seeds) in FLEETS {
-        let scenarios = [
-            ("restart", base),
-            ("restart, four shared parts", Scenario { shared: 4, ..base }),
-            (
-                "restart, crashing part first",
-                Scenario {
-                    is_first: true,
-                    ..base
-                },
-            ),
-            ("restart, loss of news", Scenario { loss: 0.4, ..base }),
-        ];
-        for (name, scenario) in scenarios {
-            check(
-                name,
-                Scenario {
-                    entries,
-                    ..scenario
-                },
-                seeds,
-            )
-            .await;
-        }
-    }
+    let base = Scenario::default().with(|s| s.forgets = true);
+    check_all(&[
+        ("restart", base),
+        ("restart, four shared parts", base.with(|s| s.shared = 4)),
+        (
+            "restart, crashing part first",
+            base.with(|s| s.is_first = true),
+        ),
+        ("restart, loss of news", base.with(|s| s.loss = 0.4)),
+    ])
+    .await;
 }
 
 /// Guards against late arrivals of a part that was answered before it began to crash endpoints.
 #[tokio::test(start_paused = true)]
 async fn bounds_of_turned_part() {
-    let base = Scenario {
-        turns: true,
-        pause: Duration::ZERO,
-        ..Scenario::default()
-    };
-    for (entries, seeds) in FLEETS {
-        let scenarios = [
-            (
-                "turned",
-                Scenario {
-                    alone: Duration::ZERO,
-                    ..base
-                },
-            ),
-            ("turned, alone first", base),
-            (
-                "turned, pause",
-                Scenario {
-                    pause: Duration::from_secs(15),
-                    ..base
-                },
-            ),
-        ];
-        for (name, scenario) in scenarios {
-            check(
-                name,
-                Scenario {
-                    entries,
-                    ..scenario
-                },
-                seeds,
-            )
-            .await;
-        }
-    }
+    let paused = Scenario::default().with(|s| s.turns = true);
+    let alone_first = paused.with(|s| s.pause = Duration::ZERO);
+    check_all(&[
+        ("turned", alone_first.with(|s| s.alone = Duration::ZERO)),
+        ("turned, alone first", alone_first),
+        ("turned, pause", paused),
+    ])
+    .await;
 }
